--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -11,13 +11,13 @@
 from enum import IntEnum, unique
 from typing import NamedTuple
 
-from berylstair.choosing import ServerCandidate, choose_server
+from berylstair.admission import MAX_WAIT_S, should_refuse
 from berylstair.directory import Directory
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName, ZoneId
+from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
-from berylstair.refusing import MAX_WAIT_S, should_refuse
-from berylstair.slots import Lease, LeaseTable, Outcome
-from berylstair.waiting import PlacementRequest, WaitQueue
+from berylstair.server_selection import ServerCandidate, choose_server
+from berylstair.wait_queue import PlacementRequest, WaitQueue
 
 __all__ = ['FRESH_FLOW_MAX_AGE_S', 'Assigner', 'PlacementDecision', 'PlacementResult']
 
--- a/berylstair/opening.py
+++ b/berylstair/flow_opener.py
@@ -8,17 +8,17 @@
 
 from berylstair.assigner import FRESH_FLOW_MAX_AGE_S, PlacementDecision, PlacementResult
 from berylstair.catalogue import LogEvent
-from berylstair.choosing import PlacementConstraints
 from berylstair.counter import RetryReason, Traffic
 from berylstair.directory import Route
 from berylstair.errors import ErrorKind
 from berylstair.flowlog import describe_flow
 from berylstair.flowtrack import FlowPhase, TrackedFlow
 from berylstair.ids import BackendId, InstanceId, ServiceName
+from berylstair.lease_table import Outcome
 from berylstair.record import BackendServer
 from berylstair.rendezvous import weighted_rank
 from berylstair.segment import SEQUENCE_SPACE, Segment
-from berylstair.slots import Outcome
+from berylstair.server_selection import PlacementConstraints
 from berylstair.steering_action import ResetCaller, SendSegment
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
@@ -30,7 +30,7 @@
     ReleaseRow,
 )
 from berylstair.tag import pack_tags, tag_of
-from berylstair.waiting import PlacementRequest
+from berylstair.wait_queue import PlacementRequest
 
 __all__ = ['FlowOpener']
 
--- a/berylstair/signs_of_life.py
+++ b/berylstair/liveness.py
@@ -2,9 +2,9 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.directory_sync import DirectorySync
-from berylstair.dispatching import PlacementProtocol
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
 from berylstair.ids import Endpoint, InstanceId
+from berylstair.placement_protocol import PlacementProtocol
 from berylstair.steering_action import SendMessage
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import FleetHeartbeat, PeerLost
--- a/berylstair/dispatching.py
+++ b/berylstair/placement_protocol.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from berylstair.assigner import PlacementDecision
-from berylstair.choosing import PlacementConstraints
 from berylstair.errors import ErrorKind
+from berylstair.flow_opener import FlowOpener
 from berylstair.flowtrack import FlowPhase
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName
-from berylstair.opening import FlowOpener
+from berylstair.lease_table import MAX_LEASE_S, Lease, Outcome
 from berylstair.record import BackendServer
-from berylstair.slots import MAX_LEASE_S, Lease, Outcome
+from berylstair.server_selection import PlacementConstraints
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
     LeaseReport,
@@ -23,7 +23,7 @@
     ReleaseRow,
 )
 from berylstair.tag import tag_of, unpack_tags
-from berylstair.waiting import PlacementRequest
+from berylstair.wait_queue import PlacementRequest
 
 __all__ = ['PlacementProtocol']
 
--- a/berylstair/choosing.py
+++ b/berylstair/server_selection.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from berylstair.ids import BackendId, ZoneId
+from berylstair.lease_table import ServerState
 from berylstair.record import BackendServer
-from berylstair.slots import ServerState
 
 __all__ = [
     'PlacementConstraints',
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -14,17 +14,17 @@
 from berylstair.counter import Traffic
 from berylstair.directory import ServerRegistration
 from berylstair.directory_sync import ChangeDecoder, DirectorySync
-from berylstair.dispatching import PlacementProtocol
 from berylstair.errors import ErrorKind
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
+from berylstair.flow_opener import FlowOpener
 from berylstair.flowlog import describe_flow
 from berylstair.flowtrack import FlowPhase, TrackedFlow
 from berylstair.ids import InstanceId
-from berylstair.opening import FlowOpener
+from berylstair.lease_table import Outcome
+from berylstair.liveness import LivenessProtocol
+from berylstair.placement_protocol import PlacementProtocol
 from berylstair.probing import PROBE_INTERVAL_S
 from berylstair.segment import Segment
-from berylstair.signs_of_life import LivenessProtocol
-from berylstair.slots import Outcome
 from berylstair.steering_action import SendSegment, SteeringAction
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
--- a/berylstair/waiting.py
+++ b/berylstair/wait_queue.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from berylstair.choosing import PlacementConstraints
+from berylstair.admission import expected_wait_s
 from berylstair.ids import FlowKey, InstanceId, ServiceName
-from berylstair.refusing import expected_wait_s
+from berylstair.server_selection import PlacementConstraints
 
 __all__ = ['PlacementRequest', 'WaitQueue']
 
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -8,10 +8,10 @@
 
 from berylstair.ids import parse_endpoint
 from emulator.backend import BackendConfig, EmulatedBackend
+from emulator.configuration_service import ConfigurationService
 from emulator.control import CommandHandlers, run_commands
 from emulator.fabric import EmulatedFabric
 from emulator.load import run_load
-from emulator.platform import ConfigurationService
 from emulator.proxy import FaultProxy
 
 __all__ = ()
--- a/emulator/crest.py
+++ b/emulator/load_patterns.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from emulator.direct import CallerFlow, SimulatedWorld
+from emulator.simulation import CallerFlow, SimulatedWorld
 
 __all__ = ['PATTERN_BY_NAME', 'CallerLoad', 'CallerRequest', 'ReplayResult', 'replay_pattern']
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from emulator.platform_fleet import ACK, FIN, PACKET_HEADER, RST, SYN, pack_packet
 from emulator.udp import UdpSocket
 from soak.clock import RunClock
-from soak.ledger import Promise, RequestOutcome, RunObservations
+from soak.observations import Promise, RequestOutcome, RunObservations
 
 __all__ = ['Caller', 'CallerFlow']
 
--- a/soak/troubles.py
+++ b/soak/disruptions.py
@@ -9,8 +9,8 @@
 
 from emulator.faults import Faults
 from emulator.platform_store import StoreFault
+from soak.environment import SERVICES, ZONES, SoakEnvironment
 from soak.fleet import STORE, InstanceProcess
-from soak.world import SERVICES, ZONES, SoakEnvironment
 
 __all__ = ['DISRUPTION_BY_NAME', 'Disruption']
 
--- a/soak/world.py
+++ b/soak/environment.py
@@ -17,8 +17,8 @@
 from soak.callers import Caller, CallerFlow
 from soak.clock import RunClock
 from soak.fleet import SETTLING_S, InstanceProcess, ProcessFleet, RunLayout
-from soak.ledger import Promise, RequestOutcome, RunObservations
 from soak.links import Links
+from soak.observations import Promise, RequestOutcome, RunObservations
 from soak.servers import BackendServer, ServerAddress
 
 __all__ = ['SoakEnvironment']
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,8 +15,8 @@
 from emulator.platform_pages import STOP_GRACE_S, make_settings
 from emulator.usage import handles_signal
 from soak.clock import RunClock
-from soak.ledger import Promise, RunObservations
 from soak.links import Links, PeerRelay, StreamRelay
+from soak.observations import Promise, RunObservations
 
 __all__ = ['SETTLING_S', 'STORE', 'InstanceProcess', 'ProcessFleet', 'RunLayout']
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,10 +5,10 @@
 from random import Random
 
 from soak.callers import Caller, CallerFlow
+from soak.disruptions import DISRUPTION_BY_NAME
+from soak.environment import SERVICES, SoakEnvironment
 from soak.fleet import InstanceProcess
-from soak.ledger import Finding, Promise, RequestOutcome
-from soak.troubles import DISRUPTION_BY_NAME
-from soak.world import SERVICES, SoakEnvironment
+from soak.observations import Finding, Promise, RequestOutcome
 
 __all__ = ['DEFAULT_INSTANCE_COUNT', 'FAULT_INJECTION_S', 'RunResult', 'RunSize', 'run_seed']
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -9,7 +9,7 @@
 from emulator.platform_fleet import ACK, FIN, PACKET_HEADER, RST, SYN, pack_packet
 from emulator.udp import UdpSocket
 from soak.clock import RunClock
-from soak.ledger import RunObservations
+from soak.observations import RunObservations
 
 __all__ = ['BackendServer', 'FlowKey', 'ServerAddress']
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 from berylstair.ids import ServiceName, ZoneId
 from berylstair.membership import PEER_TIMEOUT_S
 from berylstair.steering_message import PeerLost
-from emulator.direct import SERVICE, SimulatedWorld
+from emulator.simulation import SERVICE, SimulatedWorld
 
 
 class FleetTest(TestCase):
--- a/tests/test_slots.py
+++ b/tests/test_lease_table.py
@@ -4,7 +4,7 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from berylstair.ids import BackendId, FlowKey, InstanceId
-from berylstair.slots import Lease, LeaseTable, Outcome
+from berylstair.lease_table import Lease, LeaseTable, Outcome
 
 SERVER = BackendId('i-1')
 HOLDER = InstanceId('entry-1')
--- a/tests/test_choosing.py
+++ b/tests/test_server_selection.py
@@ -3,16 +3,16 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from berylstair.choosing import (
+from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ZoneId
+from berylstair.lease_table import Lease, LeaseTable, Outcome
+from berylstair.record import BackendServer, BackendState
+from berylstair.server_selection import (
     PlacementConstraints,
     ServerCandidate,
     choose_server,
     has_queue_room,
     lease_limit,
 )
-from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ZoneId
-from berylstair.record import BackendServer, BackendState
-from berylstair.slots import Lease, LeaseTable, Outcome
 
 LOCAL_ZONE = ZoneId('here')
 REMOTE_ZONE = ZoneId('there')
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -24,7 +24,7 @@
 from berylstair.settings import load_settings
 from berylstair.source import DirectorySource, HttpSource
 from berylstair.status import explain, read_status
-from emulator.platform import ConfigurationService
+from emulator.configuration_service import ConfigurationService
 from emulator.udp import find_free_ports
 from tests.network import DESK_ADDRESS, MAPS_ADDRESS, Network, caller_endpoint
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,9 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from soak.ledger import Finding, Promise, RunObservations
+from soak.environment import SERVICES, SoakEnvironment
+from soak.observations import Finding, Promise, RunObservations
 from soak.run import FAULT_INJECTION_S, RunSize, run_seed
-from soak.world import SERVICES, SoakEnvironment
 
 SHORT_FAULT_INJECTION_S = 5.0
 SMALL_INSTANCE_COUNT = 4
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -7,8 +7,8 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.directory import Configuration, ConfigurationPublished
-from emulator.crest import CallerLoad, replay_pattern
-from emulator.direct import SERVICE, CallerFlow, SimulatedWorld
+from emulator.load_patterns import CallerLoad, replay_pattern
+from emulator.simulation import SERVICE, CallerFlow, SimulatedWorld
 
 RATE_PER_S = 150
 MEAN_WORK_S = 0.05
--- a/tests/test_waiting.py
+++ b/tests/test_wait_queue.py
@@ -3,10 +3,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from berylstair.choosing import PlacementConstraints
+from berylstair.admission import should_refuse
 from berylstair.ids import FlowKey, InstanceId, ServiceName, ZoneId
-from berylstair.refusing import should_refuse
-from berylstair.waiting import PlacementRequest, WaitQueue
+from berylstair.server_selection import PlacementConstraints
+from berylstair.wait_queue import PlacementRequest, WaitQueue
 
 
 def placement_request(
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -184,7 +184,7 @@
     MutationCase(
         'platform: told not run',
         'a lost reset is sent again',
-        'opening',
+        'flow_opener',
         'if flow.has_sent_reset:',
         'if False:',
         'lost_reset',
@@ -274,11 +274,11 @@
     MutationCase(
         'platform: crest',
         'newest first while crowded',
-        'waiting',
+        'wait_queue',
         'if _is_overloaded(candidates, work_s, slots, now):',
         'if False:',
         'newest_goes_first or worth_and_service',
-        'tests/test_waiting.py',
+        'tests/test_wait_queue.py',
     ),
     MutationCase(
         'platform: planned stop',
