Keep reading the source whatever it answers, with a pause after each failure

Cause: an answer of the store with a missing or odd field raised KeyError or ValueError, which ended the reader's actor, so that the directory was never read again. A lost history was tried again without a pause; a store that answers 410 to listings too was called in a tight loop. Base64 with foreign characters was taken as an empty value.

Change: the store's client decodes inside the place that turns faults into SourceError, and strictly.

--- a/berylstair/directory_reader.py
+++ b/berylstair/directory_reader.py
@@ -62,6 +62,7 @@
         plan: Callable[[], ReadPlan],
         sink: ReadSink,
         rng: Random,
+        pause: Callable[[float], None] = time.sleep,
     ) -> None:
         """Prepares the reader.
 
@@ -71,12 +72,14 @@
             sink: Receives the results; its functions are called from the actor's
                 thread and must be safe to call from any thread.
             rng: Adds jitter to the retry delays.
+            pause: Blocks the actor's thread for a number of seconds.
         """
         super().__init__()
         self._source = source
         self._plan = plan
         self._sink = sink
         self._rng = rng
+        self._pause = pause
         self._needs_listing = False
         self._failure_count = 0
 
@@ -89,18 +92,20 @@
     def _read_if_due(self) -> None:
         plan = self._plan()
         if not plan.is_due:
-            time.sleep(IDLE_POLL_INTERVAL_S)
+            self._pause(IDLE_POLL_INTERVAL_S)
             return
         try:
             self._read(plan.revision)
-        except HistoryLost as error:
-            self._needs_listing = True
-            self._sink.handle_failure(str(error))
-        except SourceError as error:
-            self._failure_count += 1
-            self._sink.handle_failure(str(error))
-            delay_s = min(RETRY_BASE_DELAY_S * 2 ** min(self._failure_count, 4), RETRY_MAX_DELAY_S)
-            time.sleep(delay_s * (0.5 + self._rng.random() / 2))
+        except Exception as error:  # noqa: BLE001 no answer of the source may end the reader
+            self._needs_listing = self._needs_listing or isinstance(error, HistoryLost)
+            self._sink.handle_failure(_describe_failure(error))
+            self._pause(self._next_retry_delay_s())
+
+    def _next_retry_delay_s(self) -> float:
+        """Returns the pause after another failure, which grows up to a limit, with jitter."""
+        self._failure_count += 1
+        delay_s = min(RETRY_BASE_DELAY_S * 2 ** min(self._failure_count, 4), RETRY_MAX_DELAY_S)
+        return delay_s * (0.5 + self._rng.random() / 2)
 
     def _read(self, revision: int) -> None:
         is_full_listing = self._needs_listing or revision == 0
@@ -111,3 +116,7 @@
         self._needs_listing = False
         self._failure_count = 0
         self._sink.handle_listing(listing, is_full_listing)
+
+
+def _describe_failure(error: Exception) -> str:
+    return str(error) if isinstance(error, SourceError) else repr(error)
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -2,8 +2,9 @@
 
 import json
 from base64 import b64decode
+from collections.abc import Callable
 from http.client import HTTPConnection, HTTPException
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 from berylstair.directory import SourceChange
@@ -20,6 +21,20 @@
 ANSWER_TIMEOUT_S = 0.6
 
 
+class _Page(NamedTuple):
+    """Decoded answer to one call.
+
+    Attributes:
+        revision: The store's revision when it answered.
+        changes: Items or events.
+        has_more: Whether further items follow on the next page.
+    """
+
+    revision: int
+    changes: tuple[SourceChange, ...]
+    has_more: bool = False
+
+
 class StoreSource(DirectorySource):
     """Reads the store over HTTP/1.1, one connection at a time."""
 
@@ -49,10 +64,10 @@
         has_more = True
         while has_more:
             query = {'prefix': '', 'after': after_key} if after_key else {'prefix': ''}
-            page = self._query('/berylstair/kv-range', query, ANSWER_TIMEOUT_S)
-            revision = revision or int(page['store_revision'])
-            listed_items.extend(_decode_item(entry) for entry in page['items'])
-            has_more = bool(page['has_more']) and bool(page['items'])
+            page = self._query('/berylstair/kv-range', query, ANSWER_TIMEOUT_S, _decode_page)
+            revision = revision or page.revision
+            listed_items.extend(page.changes)
+            has_more = page.has_more and bool(page.changes)
             after_key = listed_items[-1].key if listed_items else ''
         return SourceListing(revision, tuple(listed_items))
 
@@ -71,10 +86,11 @@
             SourceError: The store cannot be read now.
         """
         query = {'prefix': '', 'after': after_revision, 'wait_ms': int(wait_s * _MS_PER_S)}
-        answer = self._query('/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S)
-        events = tuple(_decode_item(event) for event in answer['events'])
-        newest = max((event.revision for event in events), default=after_revision)
-        return SourceListing(max(int(answer['store_revision']), newest), events)
+        answer = self._query(
+            '/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S, _decode_events
+        )
+        newest = max((event.revision for event in answer.changes), default=after_revision)
+        return SourceListing(max(answer.revision, newest), answer.changes)
 
     def close(self) -> None:
         """Closes the connection; a call in another thread then fails with an error."""
@@ -82,13 +98,25 @@
             self._connection.close()
             self._connection = None
 
-    def _query(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+    def _query(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float,
+        decode: Callable[[dict[str, Any]], _Page],
+    ) -> _Page:
+        """Calls the store and decodes its answer.
+
+        Raises:
+            HistoryLost: The store no longer has the changes that were asked for.
+            SourceError: The store did not answer, or not in its own format.
+        """
         try:
-            return self._get_json(f'{path}?{urlencode(query)}', timeout_s)
+            return decode(self._get_json(f'{path}?{urlencode(query)}', timeout_s))
         except (OSError, HTTPException) as error:
             self.close()
             raise SourceError(f'{type(error).__name__}: {error}') from error
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             self.close()
             raise SourceError(f'answer cannot be decoded: {error!r}') from error
 
@@ -121,6 +149,16 @@
         return connection
 
 
+def _decode_page(answer: dict[str, Any]) -> _Page:
+    changes = tuple(_decode_item(entry) for entry in answer['items'])
+    return _Page(int(answer['store_revision']), changes, bool(answer['has_more']))
+
+
+def _decode_events(answer: dict[str, Any]) -> _Page:
+    changes = tuple(_decode_item(event) for event in answer['events'])
+    return _Page(int(answer['store_revision']), changes)
+
+
 def _decode_item(entry: dict[str, Any]) -> SourceChange:
-    value = None if entry.get('tombstone') else b64decode(entry['value'])
+    value = None if entry.get('tombstone') else b64decode(entry['value'], validate=True)
     return SourceChange(str(entry['key']), int(entry['rev']), value)
--- /dev/null
+++ b/tests/test_directory_reader.py
@@ -0,0 +1,95 @@
+"""Tests of the reader of the directory's source against a source that fails."""
+
+from collections.abc import Iterator
+from itertools import chain, repeat
+from random import Random
+from threading import Event
+
+from testtools import TestCase
+from testtools.matchers import AllMatch, Equals, GreaterThan, LessThan, MatchesAll
+
+from berylstair.directory_reader import (
+    RETRY_MAX_DELAY_S,
+    DirectoryReader,
+    ReadDirectory,
+    ReadPlan,
+    ReadSink,
+)
+from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
+from berylstair.errors import SourceError
+
+# Shortest pause that keeps a fleet of hundreds of instances within the rate of the source.
+MIN_PAUSE_S = 0.05
+FAILURE_COUNT = 8
+LISTING = SourceListing(9, ())
+
+
+class FailingSource(DirectorySource):
+    """A source whose calls raise the given errors in order, then succeed.
+
+    Attributes:
+        calls: Names of the calls so far.
+    """
+
+    def __init__(self, errors: Iterator[Exception | None]) -> None:
+        """Prepares the results of the calls."""
+        self._errors = errors
+        self.calls: list[str] = []
+
+    def read_all(self) -> SourceListing:
+        """Lists the source."""
+        return self._answer('read_all')
+
+    def watch(self, after_revision: int, wait_s: float) -> SourceListing:
+        """Watches the source."""
+        return self._answer('watch')
+
+    def close(self) -> None:
+        """Does nothing, as there is no connection."""
+
+    def _answer(self, call: str) -> SourceListing:
+        self.calls.append(call)
+        error = next(self._errors)
+        if error is not None:
+            raise error
+        return LISTING
+
+
+class DirectoryReaderTest(TestCase):
+    """Every kind of failure is reported, and followed by a bounded pause and another read."""
+
+    def read_until_listed(self, *errors: Exception) -> tuple[FailingSource, list[float], list[str]]:
+        """Runs a reader until the first listing; returns the source, pauses and failures."""
+        source = FailingSource(chain(errors, repeat(None)))
+        pauses_s: list[float] = []
+        failures: list[str] = []
+        listed = Event()
+        reader = DirectoryReader.start(
+            source,
+            lambda: ReadPlan(not listed.is_set(), 5),
+            ReadSink(lambda listing, is_full: listed.set(), failures.append),
+            Random(1),
+            pauses_s.append,
+        )
+        self.addCleanup(reader.stop)
+        reader.tell(ReadDirectory())
+        self.assertThat(listed.wait(10), Equals(True))
+        return source, pauses_s[: len(errors)], failures
+
+    def test_every_failure_is_followed_by_a_bounded_pause(self) -> None:
+        for error in (
+            HistoryLost('gone'),
+            SourceError('down'),
+            KeyError('store_revision'),
+            ValueError('odd'),
+        ):
+            with self.subTest(error=error):
+                source, pauses_s, failures = self.read_until_listed(*repeat(error, FAILURE_COUNT))
+                self.assertThat(len(failures), Equals(FAILURE_COUNT))
+                self.assertThat(len(source.calls), Equals(FAILURE_COUNT + 1))
+                is_bounded = MatchesAll(GreaterThan(MIN_PAUSE_S), LessThan(RETRY_MAX_DELAY_S + 0.1))
+                self.assertThat(pauses_s, AllMatch(is_bounded))
+
+    def test_a_lost_history_is_followed_by_listings_until_one_succeeds(self) -> None:
+        source, _, _ = self.read_until_listed(HistoryLost('gone'), SourceError('down'))
+        self.assertThat(source.calls, Equals(['watch', 'read_all', 'read_all']))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,8 @@
 """Tests of the client of the platform's store against an emulated store."""
 
+from typing import Any
+from unittest import mock
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -9,6 +12,30 @@
 from berylstair.platform.store import StoreSource
 from emulator.platform_store import PAGE_ITEMS, PlatformStore, StoreFault
 
+ITEM = {'key': 'a', 'value': 'eA==', 'rev': 5, 'create_rev': 5, 'lease': 0}
+# Answers of both calls that a store with a fault may give with status 200.
+BROKEN_ANSWERS: tuple[dict[str, Any], ...] = (
+    {},
+    {'items': [], 'events': [], 'has_more': False},
+    {'items': [], 'events': [], 'has_more': False, 'store_revision': 'x'},
+    {'items': None, 'events': None, 'has_more': False, 'store_revision': 7},
+    {'items': 3, 'events': 3, 'has_more': False, 'store_revision': 7},
+    *(
+        {'items': [entry], 'events': [entry], 'has_more': False, 'store_revision': 7}
+        for entry in (
+            None,
+            'a',
+            ITEM | {'value': '!'},
+            ITEM | {'value': None},
+            ITEM | {'rev': None},
+            ITEM | {'rev': 'x'},
+            {name: ITEM[name] for name in ('value', 'rev')},
+            {name: ITEM[name] for name in ('key', 'rev')},
+            {name: ITEM[name] for name in ('key', 'value')},
+        )
+    ),
+)
+
 
 class StoreTest(TestCase):
     """Listings, watches and failures; each test starts its own store."""
@@ -56,3 +83,14 @@
         self.store.put('a', 'y')
         self.store.compact_history()
         self.assertRaises(HistoryLost, self.source.watch, 1, 0)
+
+    def test_broken_answers_raise_source_error(self) -> None:
+        self.store.put('a', 'x')
+        for answer in BROKEN_ANSWERS:
+            with (
+                self.subTest(answer=answer),
+                mock.patch.object(self.store, 'handle_request', return_value=(200, answer)),
+            ):
+                self.assertRaises(SourceError, self.source.read_all)
+                self.assertRaises(SourceError, self.source.watch, 1, 0)
+        self.assertThat(len(self.source.read_all().changes), Equals(1))
