Refuse any broken message of a peer instead of failing on it

Cause: the codec checked types only. An unknown decision or outcome number, an integer beyond a float's range or a member without an IP address raised ValueError, OverflowError or UnicodeError in a handler, and the rest of the batch of datagrams was lost.

Change: enumerated row fields are decoded to their enum, integers are limited to 64 bits, members need an IP address; each refusal is counted and logged (E305, at most one line a second for undecodable datagrams).

--- a/berylstair/codec.py
+++ b/berylstair/codec.py
@@ -5,9 +5,10 @@
 as well, which keeps batches small.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import fields
-from typing import Any
+from enum import IntEnum
+from typing import Any, NamedTuple
 
 import cbor2
 
@@ -16,6 +17,19 @@
 __all__ = ['MessageCodec']
 
 _MAX_BATCH_ROWS = 65536
+_INTEGER_LIMIT = 1 << 63
+
+
+class _RowLayout(NamedTuple):
+    """Fields of a row type.
+
+    Attributes:
+        encoded_types: Types of the fields as CBOR has them.
+        integer_decoders: Index of each integer field, and what decodes it.
+    """
+
+    encoded_types: tuple[type[Any], ...]
+    integer_decoders: tuple[tuple[int, Callable[[int], int]], ...]
 
 
 class MessageCodec:
@@ -42,7 +56,7 @@
             for kind in message_types
         }
         self._layout_by_row_type = {
-            row_type: tuple(row_type.__annotations__.values())
+            row_type: _make_row_layout(row_type)
             for row_type in element_type_by_field.values()
             if hasattr(row_type, '_make')
         }
@@ -94,7 +108,7 @@
         if element_type is None:
             if type(value) is not expected:
                 raise DecodeError(f'found {type(value).__name__}, expected {expected.__name__}')
-            return value
+            return _check_integer(value) if expected is int else value
         if not isinstance(value, list) or len(value) > _MAX_BATCH_ROWS:
             raise DecodeError('batch field is not an array or has too many elements')
         layout = self._layout_by_row_type.get(element_type)
@@ -103,7 +117,31 @@
         return tuple([_decode_row(element, element_type, layout) for element in value])
 
 
-def _decode_row(element: Any, row_type: Any, layout: tuple[type[Any], ...]) -> Any:
-    if not isinstance(element, list) or tuple(map(type, element)) != layout:
+def _make_row_layout(row_type: Any) -> _RowLayout:
+    field_types = tuple(row_type.__annotations__.values())
+    return _RowLayout(
+        tuple(int if issubclass(kind, IntEnum) else kind for kind in field_types),
+        tuple(
+            (index, _check_integer if kind is int else kind)
+            for index, kind in enumerate(field_types)
+            if issubclass(kind, int) and kind is not bool
+        ),
+    )
+
+
+def _decode_row(element: Any, row_type: Any, layout: _RowLayout) -> Any:
+    if not isinstance(element, list) or tuple(map(type, element)) != layout.encoded_types:
         raise DecodeError(f'batch element does not match the fields of {row_type.__name__}')
+    try:
+        for index, decode in layout.integer_decoders:
+            element[index] = decode(element[index])
+    except ValueError as error:
+        raise DecodeError(f'{row_type.__name__}: {error}') from error
     return row_type._make(element)
+
+
+def _check_integer(value: int) -> int:
+    """Returns an integer of up to 64 bits; a larger one cannot be computed with as a float."""
+    if not -_INTEGER_LIMIT <= value < _INTEGER_LIMIT:
+        raise DecodeError('integer of more than 64 bits')
+    return value
--- a/berylstair/errors.py
+++ b/berylstair/errors.py
@@ -49,6 +49,7 @@
     SOURCE_UNAVAILABLE = 'source_unavailable'
     UNKNOWN_TAG = 'unknown_tag'
     SEND_FAILED = 'send_failed'
+    INTERNAL_FAULT = 'internal_fault'
 
 
 @unique
--- a/berylstair/ids.py
+++ b/berylstair/ids.py
@@ -12,6 +12,7 @@
     'RequestId',
     'ServiceName',
     'ZoneId',
+    'is_ip_address',
     'parse_endpoint',
 ]
 
@@ -55,3 +56,12 @@
     if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
         raise ValueError(f'{text!r} does not end in a port from 1 to {_MAX_PORT}')
     return Endpoint(str(ip_address(host.strip('[]'))), int(port))
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IP address."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/berylstair/liveness.py
+++ b/berylstair/liveness.py
@@ -2,8 +2,9 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.directory_sync import DirectorySync
+from berylstair.errors import ErrorKind
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
-from berylstair.ids import Endpoint, InstanceId
+from berylstair.ids import Endpoint, InstanceId, is_ip_address
 from berylstair.placement_protocol import PlacementProtocol
 from berylstair.steering_action import SendMessage
 from berylstair.steering_core import SteeringCore
@@ -85,6 +86,10 @@
     def handle_heartbeat(self, ip: str, heartbeat: FleetHeartbeat, now: float) -> None:
         """Handles a heartbeat from an IP address."""
         core = self._core
+        if not all(is_ip_address(row.ip) for row in heartbeat.members):
+            core.counters.record_refusal(ErrorKind.MALFORMED_MESSAGE)
+            core.log(LogEvent.MESSAGE_REFUSED, f'peer={ip} member without an IP address')
+            return
         sender = InstanceId(heartbeat.instance)
         is_recovered = (
             core.fleet.find_endpoint(sender) is not None
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -167,9 +167,7 @@
         if flow.phase is FlowPhase.WAITING and row.decision == PlacementDecision.WAITING:
             return
         detail = f'by={peer} leases={row.lease_count}'
-        self._flow_opener.handle_decision(
-            flow, PlacementDecision(row.decision), server, detail, now
-        )
+        self._flow_opener.handle_decision(flow, row.decision, server, detail, now)
 
     def _find_server(self, service: ServiceName, backend: str, now: float) -> BackendServer | None:
         accepting = self._core.directory.accepting_servers(service, now)
@@ -181,7 +179,7 @@
             service = ServiceName(row.service)
             key = FlowKey(row.flow)
             self._mark_flow_over(key)
-            lease = core.assigner.release(service, key, Outcome(row.outcome), now)
+            lease = core.assigner.release(service, key, row.outcome, now)
             if lease is not None and lease.holder not in {peer, core.fleet.own_id}:
                 core.add_row(ReleaseBatch, lease.holder, row)
         self.place_waiting_flows(now)
--- a/berylstair/platform/daemon.py
+++ b/berylstair/platform/daemon.py
@@ -56,7 +56,7 @@
     rng = SystemRandom()
     incarnation = int(time.time() * _MS_PER_S)
     steering = SteeringInstance(settings, decode_change, rng, incarnation, boot_clock())
-    sockets = SteeringSockets(settings, PlatformSegments(), steering.core.counters)
+    sockets = SteeringSockets(settings, PlatformSegments(), steering.core.counters, log)
     loop = SteeringLoop(settings, steering, sockets, log)
     _install_signal_handlers(loop, path)
     gc.collect()
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from berylstair.assigner import PlacementDecision
 from berylstair.codec import MessageCodec
 from berylstair.directory import SourceChange
+from berylstair.lease_table import Outcome
 
 __all__ = [
     'STEERING_CODEC',
@@ -67,7 +69,7 @@
 
     flow: bytes
     service: str
-    decision: int
+    decision: PlacementDecision
     backend: str
     lease_count: int
 
@@ -77,7 +79,7 @@
 
     flow: bytes
     service: str
-    outcome: int
+    outcome: Outcome
 
 
 class LeaseRow(NamedTuple):
--- a/berylstair/steering_ports.py
+++ b/berylstair/steering_ports.py
@@ -1,12 +1,16 @@
 """UDP sockets of a steering instance, and the interface of the segments' wire format."""
 
+import math
 import socket
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
+from berylstair.catalogue import LogEvent
 from berylstair.counter import Counters, Traffic
 from berylstair.errors import DecodeError, ErrorKind
 from berylstair.ids import BackendId, Endpoint
+from berylstair.linelog import LineLog
 from berylstair.segment import Segment
 from berylstair.steering_action import ResetCaller, SendMessage, SendSegment
 from berylstair.steering_message import STEERING_CODEC
@@ -15,6 +19,9 @@
 
 __all__ = ['SegmentCodec', 'SteeringSockets']
 
+# Many datagrams in a row may be broken; one line per interval tells enough.
+REFUSAL_LOG_INTERVAL_S = 1.0
+
 
 class SegmentCodec(ABC):
     """Wire format of segments."""
@@ -40,7 +47,11 @@
     """The sockets for traffic with the fabric, backend servers, callers and peers."""
 
     def __init__(
-        self, settings: SteeringSettings, segments: SegmentCodec, counters: Counters
+        self,
+        settings: SteeringSettings,
+        segments: SegmentCodec,
+        counters: Counters,
+        log: LineLog,
     ) -> None:
         """Opens the sockets.
 
@@ -48,10 +59,13 @@
             settings: Endpoints to listen on, and the port of the callers.
             segments: Wire format of segments.
             counters: Counts traffic, and datagrams that cannot be decoded or sent.
+            log: Takes a line about messages that cannot be decoded.
         """
         self._segments = segments
         self._counters = counters
         self._caller_port = settings.caller_port
+        self._log = log
+        self._refusal_logged_at = -math.inf
         self._cached_message: object = None
         self._cached_data = b''
         self.packet_socket = open_udp_socket(settings.packet_endpoint)
@@ -70,8 +84,8 @@
         for data, sender_ip in _receive_datagrams(self.peer_socket):
             try:
                 yield sender_ip, STEERING_CODEC.decode(data)
-            except DecodeError:
-                self._counters.record_refusal(ErrorKind.MALFORMED_MESSAGE)
+            except DecodeError as error:
+                self._refuse_message(sender_ip, error)
 
     def send_segment(self, action: SendSegment) -> None:
         """Sends a segment to a backend server."""
@@ -101,6 +115,17 @@
         self.packet_socket.close()
         self.peer_socket.close()
 
+    def _refuse_message(self, sender_ip: str, error: DecodeError) -> None:
+        """Counts a message that cannot be decoded, and logs one at an interval."""
+        self._counters.record_refusal(ErrorKind.MALFORMED_MESSAGE)
+        now = time.monotonic()
+        if now - self._refusal_logged_at >= REFUSAL_LOG_INTERVAL_S:
+            self._refusal_logged_at = now
+            count = self._counters.refusals[ErrorKind.MALFORMED_MESSAGE]
+            self._log.write(
+                LogEvent.MESSAGE_REFUSED, f'peer={sender_ip} refused={count} fault="{error}"'
+            )
+
     def _send(self, sock: socket.socket, data: bytes, target: Endpoint) -> None:
         """Sends a datagram; one that a full link refuses is dropped, as on the network."""
         try:
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -311,7 +311,8 @@
             self._perform_actions(ip, steering)
 
     def _decode_change(self, source: SourceChange) -> DecodedChange | None:
-        return self.source_items[source.key][1]
+        published = self.source_items.get(source.key)
+        return published[1] if published else None
 
     def _run_timers(self, ip: str, steering: SteeringInstance) -> None:
         if ip in self.down_ips or self.steering_by_ip.get(ip) is not steering:
