Repeat periodic tasks also after one that failed

Cause: heartbeats, probes, reports and, on the own path, all periodic work scheduled their next run on their last line, so that one exception ended them for good.

Change: the next run is scheduled first.

--- a/berylstair/instance.py
+++ b/berylstair/instance.py
@@ -428,6 +428,7 @@
     def _run_periodic_tasks(self, now: float) -> None:
         """Sends heartbeats and does the other periodic work."""
         core = self.core
+        core.timers.schedule(now + HEARTBEAT_INTERVAL_S, self._run_periodic_tasks)
         core.membership.update_liveness(now)
         for peer in sorted(self._last_reachable - core.membership.reachable):
             core.instance_lists.clear_list_version(peer)
@@ -443,7 +444,6 @@
         self._check_view_age(now)
         self.rehoming.start_if_needed(now)
         self.dispatcher.dispatch_all_queued(now)
-        core.timers.schedule(now + HEARTBEAT_INTERVAL_S, self._run_periodic_tasks)
 
     def _check_view_age(self, now: float) -> None:
         """Logs when the view becomes too old to serve."""
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -184,11 +184,11 @@
     def _schedule_periodic(
         self, period_s: float, task: Callable[[float], None], now: float
     ) -> None:
-        """Runs a task immediately and after each period."""
+        """Runs a task immediately and after each period, also after one that failed."""
 
         def run(run_at: float) -> None:
-            task(run_at)
             self.core.timers.schedule(run_at + period_s, run)
+            task(run_at)
 
         self.core.timers.schedule(now, run)
 
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,5 +1,7 @@
 """Tests of the core's promises on a simulated network; Hypothesis generates faults."""
 
+from unittest import mock
+
 from aiocoap import ACK, CON, Message
 from aiocoap.numbers.codes import Code
 from hypothesis import HealthCheck, given, settings
@@ -9,7 +11,7 @@
 
 from berylstair.action import SendToBackend
 from berylstair.claim import HomeZoneWitnessPlacement, SpreadWitnessPlacement
-from berylstair.event import BackendDatagram, CallerDatagram
+from berylstair.event import BackendDatagram, CallerDatagram, TimerDue
 from berylstair.ids import Endpoint
 from berylstair.proxy import HeaderDecoder, ProxyHeader, Tlv, split_datagram
 from tests.network import (
@@ -512,6 +514,17 @@
         network.run(2)
         self.assertThat(self.versions_in_force(network, 'service/desk'), Equals({2}))
 
+    def test_a_failed_periodic_task_is_repeated(self) -> None:
+        network = Network()
+        network.run(3)
+        instance = network.node_by_name['n0'].instance
+        membership = instance.core.membership
+        with mock.patch.object(membership, 'update_liveness', side_effect=ZeroDivisionError):
+            self.assertRaises(ZeroDivisionError, instance.handle, TimerDue(), network.now + 0.6)
+        with mock.patch.object(membership, 'update_liveness') as repeated:
+            instance.handle(TimerDue(), network.now + 1.2)
+            self.assertThat(repeated.called, Equals(True))
+
     def test_a_reused_address_rests(self) -> None:
         network = Network()
         network.run(SETTLE_S)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,14 +1,21 @@
 """Tests of several steering cores with simulated servers and callers, under faults."""
 
 from random import Random
+from unittest import mock
 
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from berylstair.catalogue import LogEvent
 from berylstair.directory import Configuration, ConfigurationPublished
+from berylstair.ids import FlowKey
+from berylstair.segment import Segment
+from berylstair.steering import SteeringInstance
+from berylstair.steering_action import SendSegment
+from berylstair.steering_metrics import render_steering_metrics
+from berylstair.tag import tag_of
 from emulator.load_patterns import CallerLoad, replay_pattern
-from emulator.simulation import SERVICE, CallerFlow, SimulatedWorld
+from emulator.simulation import SERVICE, SERVICE_ADDRESS, CallerFlow, SimulatedWorld
 
 RATE_PER_S = 150
 MEAN_WORK_S = 0.05
@@ -49,6 +56,17 @@
     return [flow for flow in world.flow_by_key.values() if flow.started_at >= start]
 
 
+def read_metric(steering: SteeringInstance, name: str) -> float:
+    """Returns a sample from the metrics page of an instance."""
+    lines = render_steering_metrics(steering).splitlines()
+    return next(float(line.split()[1]) for line in lines if line.startswith(f'berylstair_{name} '))
+
+
+def is_offer(action: object) -> bool:
+    """Returns whether an action sends a segment to a server."""
+    return isinstance(action, SendSegment)
+
+
 class ServiceTest(TestCase):
     """Outcomes for callers while no server or instance fails."""
 
@@ -97,6 +115,24 @@
         self.assertThat(len(world.answered_flows()), Equals(len(world.flow_by_key)))
 
 
+class PeriodicTaskTest(TestCase):
+    """A failure of one task does not end its repetition."""
+
+    def test_a_failed_task_is_repeated(self) -> None:
+        for owner_of, method in (
+            (lambda core: core.directory, 'prune_removed_servers'),
+            (lambda core: core.fleet, 'refresh'),
+        ):
+            world = make_world()
+            steering = next(iter(world.steering_by_ip.values()))
+            owner = owner_of(steering.core)
+            with mock.patch.object(owner, method, side_effect=ZeroDivisionError):
+                self.assertRaises(ZeroDivisionError, steering.run_timers, world.now + 5)
+            with self.subTest(method=method), mock.patch.object(owner, method) as repeated:
+                steering.run_timers(world.now + 10)
+                self.assertThat(repeated.called, Equals(True))
+
+
 class ServerFaultTest(TestCase):
     """Servers that die, answer late or are slow."""
 
