Measure no work time of a flow that another instance offered

Cause: an instance that had received a flow's opening segment, but not offered it, took the time of an offer as 0 once the flow's segments came through it. The handshake and work histograms and work_ms in E409 got the whole clock value.

Change: such a flow counts as over here, like one whose opening segment this instance never saw; its segments are forwarded as before.

--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -210,9 +210,12 @@
             return flow
         if flow is None:
             return self._track_recovered_flow(segment, registration, now)
-        if flow.server is None or flow.server.id != registration.server.id:
+        is_offered_here = flow.server is not None and flow.server.id == registration.server.id
+        if not is_offered_here:
+            # The server was offered the flow by another instance, which may not see its end.
             core.counters.record_traffic(Traffic.ANSWERED_ELSEWHERE)
             self._flow_opener.report_flow_end(flow, Outcome.ENDED, now)
+            flow.phase = FlowPhase.OVER
         flow.server = registration.server
         flow.is_server_confirmed = True
         flow.tag = segment.tag
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -115,6 +115,29 @@
         self.assertThat(len(world.answered_flows()), Equals(len(world.flow_by_key)))
 
 
+class RecoveredFlowTest(TestCase):
+    """Flows whose answer came through another instance than their opening segment."""
+
+    def test_a_flow_offered_elsewhere_has_no_work_time_here(self) -> None:
+        world = make_world()
+        steering = next(
+            node
+            for node in world.steering_by_ip.values()
+            if node.core.fleet.find_dispatcher(SERVICE, world.now) != node.core.fleet.own_id
+        )
+        key = FlowKey(bytes(6) + bytes((198, 18, 0, 1)) + SERVICE_ADDRESS.port.to_bytes(2, 'big'))
+        tag = tag_of(next(iter(world.server_by_id)))
+        data = Segment(key, False, False, False, 8, 1001, tag, b'')
+        steering.handle_segment(Segment(key, True, False, False, 7, 1, 0, b''), world.now)
+        steering.handle_segment(data, world.now + 0.01)
+        steering.handle_segment(data._replace(acknowledged=1501), world.now + 0.06)
+        for histogram in ('handshake', 'work'):
+            with self.subTest(histogram=histogram):
+                self.assertThat(read_metric(steering, f'{histogram}_seconds_sum'), LessThan(1))
+        server_ids = [action.server.id for action in steering.take_actions() if is_offer(action)]
+        self.assertThat(set(server_ids), Equals({next(iter(world.server_by_id))}))
+
+
 class PeriodicTaskTest(TestCase):
     """A failure of one task does not end its repetition."""
 
