Reload seeds and time limits only; survive any exception of a handler

Cause: a signal handed all of the changed settings on, though a running process keeps its id, zone and addresses. An exception in a handler of the steering loop skipped the actions and the next timer.

--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -125,10 +125,11 @@
 
         def apply(_now: float) -> None:
             try:
-                settings = load()
+                changed = load()
             except ConfigurationError as error:
                 self._log.write(LogEvent.SETTINGS_REFUSED, f'fault="{error}"')
                 return
+            settings = self._settings.with_reloadable_from(changed)
             self._settings = settings
             self._steering.core.apply_settings(settings)
             self._log.write(LogEvent.SETTINGS_RELOADED, f'seeds={len(settings.seeds)}')
@@ -161,24 +162,33 @@
     def _handle_segments(self) -> None:
         now = self._read_clock()
         for segment in self._sockets.read_segments():
-            self._steering.handle_segment(segment, now)
+            self._run_guarded(self._steering.handle_segment, segment, now)
         self._perform_actions()
 
     def _handle_messages(self) -> None:
         now = self._read_clock()
         for sender_ip, message in self._sockets.read_messages():
-            self._steering.handle_message(sender_ip, message, now)
+            self._run_guarded(self._steering.handle_message, sender_ip, message, now)
         self._perform_actions()
 
     def _run_work(self, work: Callable[[float], None]) -> None:
-        work(self._read_clock())
+        self._run_guarded(work, self._read_clock())
         self._perform_actions()
 
     def _handle_timer(self) -> None:
         self._timer = None
-        self._steering.run_timers(self._read_clock())
+        self._run_guarded(self._steering.run_timers, self._read_clock())
         self._perform_actions()
 
+    def _run_guarded(self, handle: Callable[..., None], *event: Any) -> None:
+        """Lets the core handle an event; an exception is logged and the process goes on."""
+        try:
+            handle(*event)
+        except Exception as error:  # noqa: BLE001 no event may end the process
+            self._steering.core.counters.record_refusal(ErrorKind.INTERNAL_FAULT)
+            name = getattr(handle, '__qualname__', repr(handle))
+            self._log.write(LogEvent.INTERNAL_FAULT, f'handler={name} {error!r}')
+
     def _read_clock(self) -> float:
         now = boot_clock()
         paused_s = now - self._last_active_at
--- a/berylstair/steering_settings.py
+++ b/berylstair/steering_settings.py
@@ -1,6 +1,6 @@
 """Settings of an instance that steers flows with direct server return."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from berylstair.ids import Endpoint, InstanceId, ZoneId
 
@@ -80,3 +80,11 @@
     source_endpoint: Endpoint
     capacity: Capacity
     time_limits: TimeLimits
+
+    def with_reloadable_from(self, changed: 'SteeringSettings') -> 'SteeringSettings':
+        """Returns these settings with what may change in a running process.
+
+        Args:
+            changed: Settings read again; only seeds and time limits are taken from them.
+        """
+        return replace(self, seeds=changed.seeds, time_limits=changed.time_limits)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of the settings file that the platform writes."""
 
+from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -56,3 +57,22 @@
         for broken in ({'internal_ports': []}, {'ip': 5}, {'platform': {'address': 'x'}}):
             self.assertRaises(ConfigurationError, load, VALID_SETTINGS | broken)
         self.assertRaises(ConfigurationError, load_platform_settings, Path('/nowhere'))
+
+    def test_only_seeds_and_time_limits_change_in_a_running_process(self) -> None:
+        running = load(VALID_SETTINGS)
+        seeds = ['10.9.9.9:8166']
+        bounds = VALID_SETTINGS['bounds'] | {'drain_ms': 5000}
+        other_machine = {
+            'node_id': 'other',
+            'ip': '10.1.0.11',
+            'zone': 'avon-side',
+            'listen': {'datagram_addr': '10.1.0.11:1', 'ready': '10.1.0.11:2'},
+            'limits': {'cpu_share': 2, 'cores': 2, 'memory_mb': 300, 'link_mbps': 5.0},
+            'platform': {'address': '10.200.1.8:8169'},
+        }
+        changed = load(VALID_SETTINGS | other_machine | {'seeds': seeds, 'bounds': bounds})
+        reloaded = running.with_reloadable_from(changed)
+        self.assertThat(reloaded.seeds, Equals((Endpoint('10.9.9.9', 7720),)))
+        self.assertThat(reloaded.time_limits.drain_s, Equals(5.0))
+        unchanged = replace(reloaded, seeds=running.seeds, time_limits=running.time_limits)
+        self.assertThat(unchanged, Equals(running))
