Start without websockets, YAML and the metrics library

Cause: a process needs 0.3 s of imports before it serves, on a machine of half a core twice that. After a power loss of all machines that is a fifth of the outage, and memory is priced. websockets, PyYAML, prometheus_client and the messages of the own path took a half of it.

Change: the directory goes between instances in frames of compressed CBOR on asyncio's streams, readiness and metrics over a small page server on them; settings come as JSON from the platform's template; histograms are plain counts, which prometheus_client renders from the first scrape on; LogEntry and Stopped leave the module of the own path's messages; messages, actions and directory types are named tuples. A process of the build before cannot fetch the directory from one of this build or give it one; both still exchange changes in datagrams and read the store.

Broken requests and replies are covered by test_steering_links.

--- a/berylstair/action.py
+++ b/berylstair/action.py
@@ -4,6 +4,7 @@
 
 from berylstair.ids import Endpoint, InstanceId
 from berylstair.message import Message
+from berylstair.shared_action import LogEntry, Stopped
 
 __all__ = [
     'Action',
@@ -56,19 +57,6 @@
     """Discard the callers' datagrams that are queued in the sockets."""
 
 
-@dataclass(frozen=True, slots=True)
-class LogEntry:
-    """Write a numbered event to the log."""
-
-    event_number: int
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class Stopped:
-    """The planned stop is complete; the process may exit."""
-
-
 Action = (
     SendToCaller
     | SendToBackend
--- a/berylstair/codec.py
+++ b/berylstair/codec.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import fields
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -43,15 +42,15 @@
         """Derives the field layouts from the message types.
 
         Args:
-            message_types: Message dataclasses; the position is the type number.
+            message_types: Dataclasses or named tuples; the position is the type number.
             element_type_by_field: Element type of each field that holds a batch.
         """
         self._message_types = message_types
         self._number_by_type = {kind: number for number, kind in enumerate(message_types)}
         self._layout_by_type = {
             kind: tuple(
-                (field.type, element_type_by_field.get((kind, field.name)))
-                for field in fields(kind)
+                (field_type, element_type_by_field.get((kind, name)))
+                for name, field_type in kind.__annotations__.items()
             )
             for kind in message_types
         }
@@ -70,8 +69,9 @@
         Returns:
             One CBOR array.
         """
-        values = [getattr(message, name) for name in message.__slots__]
-        return cbor2.dumps([self._number_by_type[type(message)], *values])
+        kind = type(message)
+        values = [getattr(message, name) for name in kind.__annotations__]
+        return cbor2.dumps([self._number_by_type[kind], *values])
 
     def decode(self, data: bytes) -> Any:
         """Decodes and checks a message.
--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -39,8 +39,7 @@
     value: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class ServerRegistration:
+class ServerRegistration(NamedTuple):
     """A backend server as it registered itself.
 
     Attributes:
@@ -56,8 +55,7 @@
     warmup_left_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(NamedTuple):
     """Services that get the new flows of one address, and properties of its requests.
 
     Attributes:
@@ -77,8 +75,7 @@
     priority: int
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(NamedTuple):
     """All routes of one published version."""
 
     version: int
@@ -86,22 +83,19 @@
     idle_timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ServerListed:
+class ServerListed(NamedTuple):
     """A server registered or changed its entry."""
 
     registration: ServerRegistration
 
 
-@dataclass(frozen=True, slots=True)
-class ServerRemoved:
+class ServerRemoved(NamedTuple):
     """A server's entry was removed, or describes no usable server."""
 
     backend: BackendId
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationPublished:
+class ConfigurationPublished(NamedTuple):
     """The operator published a configuration."""
 
     configuration: Configuration
--- a/berylstair/platform/settings.py
+++ b/berylstair/platform/settings.py
@@ -1,11 +1,10 @@
 """Decodes the settings file that the platform writes."""
 
+import json
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
-import yaml
-
 from berylstair.errors import ConfigurationError, Problem
 from berylstair.ids import Endpoint, InstanceId, ZoneId, parse_endpoint
 from berylstair.steering_settings import Capacity, SteeringSettings, TimeLimits
@@ -24,7 +23,8 @@
     """Loads and validates the settings file.
 
     Args:
-        path: A YAML file; unknown fields are ignored.
+        path: A JSON file, which the platform fills in from the template in
+            ``deploy/``; unknown fields are ignored.
 
     Returns:
         The settings, independent of the platform's format.
@@ -34,8 +34,8 @@
             invalid.
     """
     try:
-        loaded = yaml.load(path.read_bytes(), Loader=getattr(yaml, 'CSafeLoader', yaml.SafeLoader))
-    except (OSError, yaml.YAMLError) as error:
+        loaded = json.loads(path.read_bytes())
+    except (OSError, ValueError) as error:
         raise ConfigurationError([Problem(str(path), '', str(error))]) from error
     try:
         return _decode_settings(loaded)
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -9,7 +9,6 @@
 from random import Random
 from typing import Any
 
-from berylstair.action import Stopped
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Traffic
 from berylstair.directory import ServerRegistration
@@ -25,6 +24,7 @@
 from berylstair.placement_protocol import PlacementProtocol
 from berylstair.probing import PROBE_INTERVAL_S
 from berylstair.segment import Segment
+from berylstair.shared_action import Stopped
 from berylstair.steering_action import SendSegment, SteeringAction
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
--- a/berylstair/steering_action.py
+++ b/berylstair/steering_action.py
@@ -1,18 +1,16 @@
 """Actions that the steering core returns for the event loop to carry out."""
 
-from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
-from berylstair.action import LogEntry, Stopped
 from berylstair.ids import Endpoint
 from berylstair.record import BackendServer
 from berylstair.segment import Segment
+from berylstair.shared_action import LogEntry, Stopped
 
 __all__ = ['FetchDirectory', 'ResetCaller', 'SendMessage', 'SendSegment', 'SteeringAction']
 
 
-@dataclass(frozen=True, slots=True)
-class SendSegment:
+class SendSegment(NamedTuple):
     """Sends a caller's segment to a backend server, with the server's tag."""
 
     server: BackendServer
@@ -20,8 +18,7 @@
     tag: int
 
 
-@dataclass(frozen=True, slots=True)
-class ResetCaller:
+class ResetCaller(NamedTuple):
     """Sends a reset to a caller whose flow is refused.
 
     Attributes:
@@ -33,16 +30,14 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendMessage:
+class SendMessage(NamedTuple):
     """Sends a message to another instance as a datagram."""
 
     target: Endpoint
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class FetchDirectory:
+class FetchDirectory(NamedTuple):
     """Fetches the directory's changes after a revision from another instance."""
 
     target: Endpoint
--- a/berylstair/steering_core.py
+++ b/berylstair/steering_core.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Any
 
-from berylstair.action import LogEntry
 from berylstair.assigner import Assigner
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Counters
@@ -14,6 +13,7 @@
 from berylstair.flowtrack import TrackedFlowTable
 from berylstair.ids import Endpoint, InstanceId
 from berylstair.latency import Latencies
+from berylstair.shared_action import LogEntry
 from berylstair.steering_action import SendMessage, SteeringAction
 from berylstair.steering_settings import SteeringSettings
 from berylstair.timer import Timers
--- a/berylstair/steering_links.py
+++ b/berylstair/steering_links.py
@@ -1,13 +1,11 @@
 """TCP services of a steering instance: the directory for peers, readiness and metrics."""
 
 import asyncio
-from collections.abc import Callable
+import zlib
+from collections.abc import Awaitable, Callable
+from contextlib import closing
 from http import HTTPStatus
-
-from websockets.asyncio.client import connect
-from websockets.asyncio.server import ServerConnection, serve
-from websockets.exceptions import WebSocketException
-from websockets.http11 import Request, Response
+from typing import Any
 
 from berylstair.errors import DecodeError
 from berylstair.ids import Endpoint
@@ -17,12 +15,18 @@
 
 # A reachable peer answers within milliseconds; a fetch that takes longer is abandoned.
 FETCH_TIMEOUT_S = 1.0
-# A configuration of 1,600 routes has 250 KB, and a dozen concurrent fetches of it take
-# seconds on a link of 10 Mbit/s. Compression reduces it to less than a tenth.
-COMPRESSION = 'deflate'
+PAGE_TIMEOUT_S = 1.0
 MAX_MESSAGE_BYTES = 16 << 20
+_FRAME_HEADER_BYTES = 4
+_PAGE_HEADER = (
+    'HTTP/1.1 {status} {phrase}\r\n'
+    'Content-Type: text/plain; charset=utf-8\r\n'
+    'Content-Length: {length}\r\n'
+    'Connection: close\r\n\r\n'
+)
 
 PageRenderer = Callable[[], tuple[HTTPStatus, str]]
+_Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 async def serve_page(listen: Endpoint, page: PageRenderer) -> None:
@@ -33,46 +37,34 @@
         page: Returns status and text.
     """
 
-    def respond(connection: ServerConnection, _request: Request) -> Response:
-        status, text = page()
-        return connection.respond(status, text)
+    async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await reader.readuntil(b'\r\n\r\n')
+        is_get = request.startswith(b'GET ')
+        status, text = page() if is_get else (HTTPStatus.METHOD_NOT_ALLOWED, '')
+        body = text.encode()
+        header = _PAGE_HEADER.format(status=status.value, phrase=status.phrase, length=len(body))
+        writer.write(header.encode() + body)
+        await writer.drain()
 
-    await serve(
-        _close_connection,
-        listen.ip,
-        listen.port,
-        process_request=respond,
-        ping_interval=None,
-        logger=None,
-    )
+    await _start_server(listen, respond, PAGE_TIMEOUT_S)
 
 
 async def serve_directory(listen: Endpoint, changes_after: Callable[[int], DirectoryReply]) -> None:
-    """Starts a WebSocket server from which peers fetch the directory.
+    """Starts a server from which peers fetch the directory.
+
+    Each connection carries one request and its reply, as compressed frames.
 
     Args:
         listen: Endpoint to listen on.
         changes_after: Returns the changes after a revision.
     """
 
-    async def handle_request(connection: ServerConnection) -> None:
-        try:
-            data = await asyncio.wait_for(connection.recv(), FETCH_TIMEOUT_S)
-            request = STEERING_CODEC.decode(data if isinstance(data, bytes) else b'')
-            if isinstance(request, DirectoryRequest):
-                await connection.send(STEERING_CODEC.encode(changes_after(request.after_revision)))
-        except (WebSocketException, OSError, DecodeError, TimeoutError):
-            # After the next heartbeat the peer asks again, here or at another instance.
-            return
+    async def handle_request(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await _read_message(reader)
+        if isinstance(request, DirectoryRequest):
+            await _write_message(writer, changes_after(request.after_revision))
 
-    await serve(
-        handle_request,
-        listen.ip,
-        listen.port,
-        compression=COMPRESSION,
-        ping_interval=None,
-        max_size=MAX_MESSAGE_BYTES,
-    )
+    await _start_server(listen, handle_request, FETCH_TIMEOUT_S)
 
 
 async def fetch_directory(target: Endpoint, after_revision: int) -> DirectoryReply | None:
@@ -87,24 +79,64 @@
     """
     try:
         return await asyncio.wait_for(_fetch(target, after_revision), FETCH_TIMEOUT_S)
-    except (WebSocketException, OSError, DecodeError, TimeoutError):
+    except (OSError, EOFError, DecodeError, TimeoutError):
         return None
 
 
 async def _fetch(target: Endpoint, after_revision: int) -> DirectoryReply | None:
-    link = connect(
-        f'ws://{target}',
-        compression=COMPRESSION,
-        ping_interval=None,
-        max_size=MAX_MESSAGE_BYTES,
-        proxy=None,
-    )
-    async with link as connection:
-        await connection.send(STEERING_CODEC.encode(DirectoryRequest(after_revision)))
-        data = await connection.recv()
-    message = STEERING_CODEC.decode(data if isinstance(data, bytes) else b'')
+    reader, writer = await asyncio.open_connection(*target)
+    with closing(writer):
+        await _write_message(writer, DirectoryRequest(after_revision))
+        message = await _read_message(reader)
     return message if isinstance(message, DirectoryReply) else None
 
 
-async def _close_connection(_connection: ServerConnection) -> None:
-    """Closes a connection that asks for more than the page, by returning at once."""
+async def _start_server(listen: Endpoint, handle: _Handler, timeout_s: float) -> None:
+    """Starts a server that closes each connection after one exchange."""
+
+    async def handle_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await asyncio.wait_for(handle(reader, writer), timeout_s)
+        except (OSError, EOFError, asyncio.LimitOverrunError, DecodeError, TimeoutError):
+            # The other end sees the connection close, and tries again later.
+            return
+        finally:
+            writer.close()
+
+    await asyncio.start_server(handle_connection, listen.ip, listen.port)
+
+
+async def _write_message(writer: asyncio.StreamWriter, message: Any) -> None:
+    """Writes a message as one frame: the length of the compressed CBOR, then that.
+
+    A configuration of 1,600 routes has 250 KB, and a dozen concurrent fetches of
+    it take seconds on a link of 10 Mbit/s; compressed it has less than a tenth.
+    """
+    compressed = zlib.compress(STEERING_CODEC.encode(message))
+    writer.write(len(compressed).to_bytes(_FRAME_HEADER_BYTES, 'big') + compressed)
+    await writer.drain()
+
+
+async def _read_message(reader: asyncio.StreamReader) -> Any:
+    """Reads one frame.
+
+    Raises:
+        DecodeError: The frame is too large or holds no message.
+        EOFError: The connection ended before the frame did.
+    """
+    header = await reader.readexactly(_FRAME_HEADER_BYTES)
+    length = int.from_bytes(header, 'big')
+    if length > MAX_MESSAGE_BYTES:
+        raise DecodeError(f'frame of {length} bytes, at most {MAX_MESSAGE_BYTES} are allowed')
+    return STEERING_CODEC.decode(_decompress(await reader.readexactly(length)))
+
+
+def _decompress(compressed: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(compressed, MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise DecodeError(f'frame cannot be decompressed: {error}') from error
+    if not decompressor.eof:
+        raise DecodeError(f'frame is incomplete or has more than {MAX_MESSAGE_BYTES} bytes')
+    return data
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -7,7 +7,6 @@
 
 import pykka
 
-from berylstair.action import LogEntry, Stopped
 from berylstair.catalogue import LogEvent
 from berylstair.directory_reader import ReadPlan
 from berylstair.directory_source import SourceListing
@@ -15,10 +14,10 @@
 from berylstair.linelog import LineLog
 from berylstair.membership import PAUSE_THRESHOLD_S
 from berylstair.serving import Serve, boot_clock
+from berylstair.shared_action import LogEntry, Stopped
 from berylstair.steering import SteeringInstance
 from berylstair.steering_action import FetchDirectory, ResetCaller, SendMessage, SendSegment
 from berylstair.steering_links import fetch_directory, serve_directory, serve_page
-from berylstair.steering_metrics import render_steering_metrics
 from berylstair.steering_ports import SteeringSockets
 from berylstair.steering_settings import SteeringSettings
 
@@ -236,6 +235,9 @@
         return HTTPStatus.SERVICE_UNAVAILABLE, 'not ready\n'
 
     def _metrics_page(self) -> tuple[HTTPStatus, str]:
+        # Importing the metrics library takes long, and a starting process is needed at once.
+        from berylstair.steering_metrics import render_steering_metrics
+
         return HTTPStatus.OK, render_steering_metrics(self._steering)
 
 
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from berylstair.assigner import PlacementDecision
@@ -100,8 +99,7 @@
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class FleetHeartbeat:
+class FleetHeartbeat(NamedTuple):
     """Shows that the sender is alive and what it knows.
 
     Attributes:
@@ -127,8 +125,7 @@
     members: tuple[MemberRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLost:
+class PeerLost(NamedTuple):
     """Declares an instance lost after several unanswered probes.
 
     Attributes:
@@ -139,52 +136,45 @@
     incarnation: int
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequestBatch:
+class PlacementRequestBatch(NamedTuple):
     """Asks a dispatching instance to place flows."""
 
     rows: tuple[PlacementRequestRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementReplyBatch:
+class PlacementReplyBatch(NamedTuple):
     """Placement decisions of a dispatching instance."""
 
     rows: tuple[PlacementReplyRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseBatch:
+class ReleaseBatch(NamedTuple):
     """Tells a dispatching instance, or the holder of flows, which flows have ended."""
 
     rows: tuple[ReleaseRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseReport:
+class LeaseReport(NamedTuple):
     """All flows of one service that the sender holds open."""
 
     service: str
     rows: tuple[LeaseRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryRequest:
+class DirectoryRequest(NamedTuple):
     """Asks for the directory's changes after a revision."""
 
     after_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryReply:
+class DirectoryReply(NamedTuple):
     """Changes of the directory up to a revision."""
 
     revision: int
     rows: tuple[DirectoryChangeRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryUpdate:
+class DirectoryUpdate(NamedTuple):
     """A few small changes, for peers that hold the directory up to a revision.
 
     Attributes:
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from prometheus_client import CollectorRegistry
-from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.core import GaugeMetricFamily, HistogramMetricFamily, Metric
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
 
@@ -29,6 +29,21 @@
             _counts_by_value(counters.traffic),
         )
         yield from self._gauges()
+        yield from self._histograms()
+
+    def _histograms(self) -> Iterable[Metric]:
+        latencies = self._steering.core.latencies
+        for name, histogram in (
+            ('decision', latencies.decision),
+            ('handshake', latencies.handshake),
+            ('work', latencies.work),
+        ):
+            yield HistogramMetricFamily(
+                f'berylstair_{name}_seconds',
+                histogram.text,
+                buckets=histogram.cumulative_counts(),
+                sum_value=histogram.sum_s,
+            )
 
     def _gauges(self) -> Iterable[Metric]:
         core = self._steering.core
@@ -64,5 +79,4 @@
     """Renders the metrics in the Prometheus text format."""
     registry = CollectorRegistry()
     registry.register(_SteeringCollector(steering))
-    text = generate_latest(registry) + generate_latest(steering.core.latencies.registry)
-    return text.decode()
+    return generate_latest(registry).decode()
--- a/emulator/platform_fleet.py
+++ b/emulator/platform_fleet.py
@@ -4,6 +4,7 @@
 same ports on all machines.
 """
 
+import json
 import os
 import signal
 import socket
@@ -18,8 +19,6 @@
 from typing import Any, Self
 from urllib.request import urlopen
 
-import yaml
-
 from berylstair.ids import Endpoint
 from berylstair.udp import MAX_DATAGRAM_BYTES, open_udp_socket
 from emulator.cluster import wait_until
@@ -321,8 +320,8 @@
             number: Index of the instance, from 0.
             source: Endpoint through which it reads the store; if None, the store's own.
         """
-        path = Path(self._temp_directory.name) / f'node-{number}.yaml'
-        path.write_text(yaml.safe_dump(self._make_settings(number, source)), encoding='utf-8')
+        path = Path(self._temp_directory.name) / f'node-{number}.json'
+        path.write_text(json.dumps(self._make_settings(number, source)), encoding='utf-8')
         log = path.with_suffix('.log').open('ab')
         self.process_by_number[number] = subprocess.Popen(
             (sys.executable, '-m', 'berylstair.platform'),
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -9,7 +9,6 @@
 from random import Random
 from typing import Any
 
-from berylstair.action import LogEntry, Stopped
 from berylstair.directory import (
     Configuration,
     ConfigurationPublished,
@@ -23,6 +22,7 @@
 from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.record import BackendServer, BackendState
 from berylstair.segment import Segment
+from berylstair.shared_action import LogEntry, Stopped
 from berylstair.steering import SteeringInstance
 from berylstair.steering_action import FetchDirectory, ResetCaller, SendMessage, SendSegment
 from berylstair.steering_message import STEERING_CODEC
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """The instances of a soak run, as processes behind relays."""
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -9,8 +10,6 @@
 from http import HTTPStatus
 from pathlib import Path
 
-import yaml
-
 from berylstair.ids import Endpoint
 from emulator.platform_pages import STOP_GRACE_S, make_settings
 from emulator.usage import handles_signal
@@ -145,8 +144,8 @@
         """
         if instance.process is not None and instance.process.poll() is None:
             return
-        path = self.layout.folder / f'{instance.name}.yaml'
-        path.write_text(yaml.safe_dump(self._build_settings(instance)), encoding='utf-8')
+        path = self.layout.folder / f'{instance.name}.json'
+        path.write_text(json.dumps(self._build_settings(instance)), encoding='utf-8')
         module = 'soak.skewed' if clock_offset_s else 'berylstair.platform'
         with path.with_suffix('.log').open('ab') as log:
             instance.process = subprocess.Popen(
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,11 +1,11 @@
 """Tests of the decoding of the settings file that the platform writes."""
 
+import json
 from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
 
-import yaml
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -32,8 +32,8 @@
 def load(content: Any) -> Any:
     """Loads settings from a file with the given content."""
     with TemporaryDirectory() as folder:
-        path = Path(folder) / 'node.yaml'
-        path.write_text(yaml.safe_dump(content), encoding='utf-8')
+        path = Path(folder) / 'node.json'
+        path.write_text(json.dumps(content), encoding='utf-8')
         return load_platform_settings(path)
 
 
--- a/tests/test_steering_links.py
+++ b/tests/test_steering_links.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import json
+import zlib
 from contextlib import suppress
+from http import HTTPStatus
 
 from testtools import TestCase
 from testtools.matchers import Equals
 
 from berylstair.ids import Endpoint
-from berylstair.steering_links import fetch_directory, serve_directory
+from berylstair.steering_links import fetch_directory, serve_directory, serve_page
 from berylstair.steering_message import DirectoryChangeRow, DirectoryReply
 from emulator.udp import find_free_ports
 
@@ -65,6 +67,76 @@
     return json.dumps({'version': 7, 'routes': rows}).encode()
 
 
+def make_frame(data: bytes) -> bytes:
+    """Returns data as the frame that carries a message."""
+    compressed = zlib.compress(data)
+    return len(compressed).to_bytes(4, 'big') + compressed
+
+
+JUNK = (
+    b'',
+    b'\x00\x00',
+    b'\x00\x00\x00\x05abcde',
+    b'\x00\x00\x00\x05abc',
+    b'\xff\xff\xff\xff' + bytes(50),
+    make_frame(b'not a message'),
+    make_frame(bytes(32 << 20)),
+    b'POST / HTTP/1.1\r\n\r\n',
+    b'GET ' + bytes(1 << 17),
+)
+
+
+async def exchange(endpoint: Endpoint, data: bytes) -> bytes:
+    """Sends bytes on a new connection and returns what comes back until it closes."""
+    reader, writer = await asyncio.open_connection(*endpoint)
+    writer.write(data)
+    if writer.can_write_eof():
+        writer.write_eof()
+    with suppress(ConnectionError):
+        return await reader.read()
+    return b''
+
+
+class BrokenRequestTest(TestCase):
+    """Requests that are broken end their own connection only."""
+
+    def test_servers_outlive_broken_requests(self) -> None:
+        reply = DirectoryReply(9, ())
+        directory_endpoint, page_endpoint = (
+            Endpoint('127.0.0.1', port) for port in find_free_ports(2)
+        )
+
+        async def send_all() -> tuple[list[bytes], DirectoryReply | None, bytes]:
+            await serve_directory(directory_endpoint, lambda _after: reply)
+            await serve_page(page_endpoint, lambda: (HTTPStatus.OK, 'ready'))
+            answers = [await exchange(directory_endpoint, junk) for junk in JUNK]
+            for junk in JUNK:
+                await exchange(page_endpoint, junk)
+            page = await exchange(page_endpoint, b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
+            return answers, await fetch_directory(directory_endpoint, 0), page
+
+        answers, fetched, page = asyncio.run(send_all())
+        self.assertThat(set(answers), Equals({b''}))
+        self.assertThat(fetched, Equals(reply))
+        self.assertThat(page.split(b'\r\n')[0], Equals(b'HTTP/1.1 200 OK'))
+        self.assertThat(page.endswith(b'\r\n\r\nready'), Equals(True))
+
+    def test_broken_replies_give_none(self) -> None:
+        (endpoint,) = (Endpoint('127.0.0.1', port) for port in find_free_ports(1))
+
+        async def fetch_from(junk: bytes) -> DirectoryReply | None:
+            async def answer(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                writer.write(junk)
+                writer.close()
+
+            async with await asyncio.start_server(answer, *endpoint):
+                return await fetch_directory(endpoint, 0)
+
+        for junk in JUNK:
+            with self.subTest(junk=junk[:20]):
+                self.assertThat(asyncio.run(fetch_from(junk)), Equals(None))
+
+
 class FetchTest(TestCase):
     """Many peers fetch a large configuration at the same time."""
 
