Let flows wait instead of offering them to servers that do not answer

Ruled out: the detection of the lost instances (servers are avoided within 0.2 s).

Change: while any server is not avoided, an avoided one is not chosen because the others are full; the flow waits. One flow a period still tries an avoided server. Waits are estimated from the slots of usable servers.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -57,7 +57,7 @@
 
     Attributes:
         candidates: Servers to choose from, as of ``refreshed_at``.
-        slots: Slots of all candidates.
+        slots: Slots of all candidates that are not avoided.
     """
 
     lease_table: LeaseTable = field(default_factory=LeaseTable)
@@ -271,7 +271,6 @@
         reachable = [server for server in accepting if self._is_zone_reachable(server.zone)]
         state.accepting = accepting
         state.refreshed_at = now
-        state.slots = sum(server.slots for server in reachable or accepting)
         state.candidates = [
             ServerCandidate(
                 server,
@@ -280,6 +279,7 @@
             )
             for server in reachable or accepting
         ]
+        state.slots = _count_usable_slots(state.candidates, now)
         return state.candidates
 
     def _service_state(self, service: ServiceName) -> _ServiceState:
@@ -288,3 +288,9 @@
             state = _ServiceState()
             self._state_by_service[service] = state
         return state
+
+
+def _count_usable_slots(candidates: list[ServerCandidate], now: float) -> int:
+    """Returns the slots of the servers that are not avoided, those of all if all are."""
+    usable = [candidate for candidate in candidates if not candidate.state.is_avoided(now)]
+    return sum(candidate.server.slots for candidate in usable or candidates)
--- a/berylstair/server_selection.py
+++ b/berylstair/server_selection.py
@@ -85,7 +85,9 @@
     """Chooses the server that is expected to answer first.
 
     Servers that the flow has tried, and those that are avoided as unresponsive
-    or too quick, are chosen only if there is no other.
+    or too quick, are chosen only if there is no other. A flow does not evade to an
+    avoided server because the others are full: it would probably be offered in
+    vain, while a slot becomes free sooner.
 
     Args:
         candidates: Servers to choose from.
@@ -102,16 +104,16 @@
         chosen = choose_server(window, constraints, now, requires_capacity)
         if chosen is not None:
             return chosen
-    below_limit = [
-        candidate
-        for candidate in candidates
-        if candidate.state.lease_count < lease_limit(candidate.server)
-    ]
-    eligible = below_limit if requires_capacity else candidates
     untried = [
-        candidate for candidate in eligible if candidate.server.id not in constraints.excluded
-    ] or eligible
+        candidate for candidate in candidates if candidate.server.id not in constraints.excluded
+    ] or candidates
     healthy = [candidate for candidate in untried if not candidate.state.is_avoided(now)] or untried
+    if requires_capacity:
+        healthy = [
+            candidate
+            for candidate in healthy
+            if candidate.state.lease_count < lease_limit(candidate.server)
+        ]
     if not healthy:
         return None
     return min(
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -187,12 +187,14 @@
         return ip
 
     def partition_zone(self, number: int) -> None:
-        """Blocks the links between a zone's instances and all others.
+        """Blocks the links between a zone's instances and servers and those of other zones.
 
         They stay blocked until ``blocked_links`` is cleared.
         """
         zone = self._zones[number]
         zone_by_ip = {ip: node.core.settings.zone for ip, node in self.steering_by_ip.items()}
+        for server in self.server_by_id.values():
+            zone_by_ip[server.backend_server.address.ip] = server.backend_server.zone
         self.blocked_links.update(
             (source, target)
             for source in zone_by_ip
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -8,7 +8,8 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.directory import Configuration, ConfigurationPublished
-from berylstair.ids import FlowKey
+from berylstair.ids import FlowKey, ZoneId
+from berylstair.membership import PEER_TIMEOUT_S
 from berylstair.segment import Segment
 from berylstair.steering import SteeringInstance
 from berylstair.steering_action import SendSegment
@@ -19,6 +20,7 @@
 
 RATE_PER_S = 150
 MEAN_WORK_S = 0.05
+LATENCY_TARGET_S = 0.25
 # A quarter of the latency target; a later refusal is of no use to the caller.
 PROMPT_REFUSAL_S = 0.06
 
@@ -45,7 +47,7 @@
         )
 
 
-def in_time_ratio(flows: list[CallerFlow], target_s: float = 0.25) -> float:
+def in_time_ratio(flows: list[CallerFlow], target_s: float = LATENCY_TARGET_S) -> float:
     """Returns the share of flows that were answered within the latency target."""
     in_time = [flow for flow in flows if flow.outcome == 'answered' and flow.latency_s <= target_s]
     return len(in_time) / len(flows)
@@ -138,6 +140,50 @@
         self.assertThat(set(server_ids), Equals({next(iter(world.server_by_id))}))
 
 
+class ZoneCutTest(TestCase):
+    """A zone is cut off, and its instances are declared lost only some time later.
+
+    Until then the servers across the cut still count as usable, and the zone's own
+    ones are nearly full.
+    """
+
+    def start_cut(self, seed: int) -> tuple[SimulatedWorld, float]:
+        """Cuts off a zone whose callers use five sixths of its slots; returns the time."""
+        world = make_world(instances=8, zones=3, servers=6)
+        rng = Random(seed)
+        for zone, rate in enumerate((100, 60, 60)):
+            for number in range(5 * rate):
+                work_s = min(rng.expovariate(1 / MEAN_WORK_S), 0.3)
+                world.schedule(
+                    (number + rng.random()) / rate,
+                    lambda origin=zone, work=work_s: world.start_flow(origin, work),
+                )
+        world.run(2)
+        world.partition_zone(0)
+        return world, world.now
+
+    def test_flows_wait_for_a_slot_instead_of_being_offered_across_the_cut(self) -> None:
+        for seed in (5, 6, 7):
+            world, cut_at = self.start_cut(seed)
+            world.run(PEER_TIMEOUT_S)
+            flows = [
+                flow for flow in flows_started_since(world, cut_at) if flow.zone == ZoneId('zone-0')
+            ]
+            ended = [flow for flow in flows if world.now - flow.started_at > LATENCY_TARGET_S]
+            with self.subTest(seed=seed):
+                self.assertThat(in_time_ratio(ended), GreaterThan(0.95))
+
+    def test_all_servers_are_used_again_after_the_cut(self) -> None:
+        world, _ = self.start_cut(5)
+        world.run(1)
+        world.blocked_links.clear()
+        world.run(1)
+        healed_at = world.now
+        world.run(1)
+        used_ids = {flow.backend_id for flow in flows_started_since(world, healed_at)}
+        self.assertThat(used_ids >= set(world.server_by_id), Equals(True))
+
+
 class PeriodicTaskTest(TestCase):
     """A failure of one task does not end its repetition."""
 
