Prove signals at the start without a race

Change: a second test runs the entry point with a daemon that gets the signal itself; make red uses it. The test on a whole process stays.

Result: red without the ignored SIGHUP (exit by signal 1), green with it.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,6 +1,8 @@
 """Tests of instances as real processes on an emulation of the users' platform, under faults."""
 
 import signal
+import subprocess
+import sys
 import time
 
 from testtools import TestCase
@@ -14,6 +16,32 @@
 CALL_COUNT = 12
 
 
+# Runs the entry point with a daemon that gets a signal before it serves anything.
+SIGNALLED_START = """
+import os, runpy, sys, types
+
+def main():
+    os.kill(os.getpid(), {number})
+    return 3
+
+daemon = types.ModuleType('berylstair.platform.daemon')
+daemon.main = main
+sys.modules[daemon.__name__] = daemon
+runpy.run_module('berylstair.platform', run_name='__main__')
+"""
+
+
+class EntryPointTest(TestCase):
+    """Signals that arrive before the program has installed its own handlers."""
+
+    def test_signals_before_the_daemon_serves(self) -> None:
+        for signal_number, exit_status in ((signal.SIGHUP, 3), (signal.SIGTERM, 0)):
+            script = SIGNALLED_START.format(number=signal_number.value)
+            with self.subTest(signal=signal_number):
+                finished = subprocess.run([sys.executable, '-c', script], check=False)
+                self.assertThat(finished.returncode, Equals(exit_status))
+
+
 class PlatformProcessTest(TestCase):
     """Flows through a fleet while instances, servers and the store fail."""
 
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -322,7 +322,7 @@
         'platform/__main__',
         '    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n',
         '',
-        'signals_while',
+        'signals_before',
         'tests/test_platform_process.py',
     ),
 )
