--- a/tests/test_directory_reader.py
+++ b/tests/test_directory_reader.py
@@ -64,17 +64,26 @@
         pauses_s: list[float] = []
         failures: list[str] = []
         listed = Event()
+        stopped = Event()
+
+        def pause(seconds: float) -> None:
+            if listed.is_set():
+                stopped.wait()
+            else:
+                pauses_s.append(seconds)
+
         reader = DirectoryReader.start(
             source,
             lambda: ReadPlan(not listed.is_set(), 5),
             ReadSink(lambda listing, is_full: listed.set(), failures.append),
             Random(1),
-            pauses_s.append,
+            pause,
         )
         self.addCleanup(reader.stop)
+        self.addCleanup(stopped.set)
         reader.tell(ReadDirectory())
         self.assertThat(listed.wait(10), Equals(True))
-        return source, pauses_s[: len(errors)], failures
+        return source, pauses_s, failures
 
     def test_every_failure_is_followed_by_a_bounded_pause(self) -> None:
         for error in (
@@ -87,6 +96,7 @@
                 source, pauses_s, failures = self.read_until_listed(*repeat(error, FAILURE_COUNT))
                 self.assertThat(len(failures), Equals(FAILURE_COUNT))
                 self.assertThat(len(source.calls), Equals(FAILURE_COUNT + 1))
+                self.assertThat(len(pauses_s), Equals(FAILURE_COUNT))
                 is_bounded = MatchesAll(GreaterThan(MIN_PAUSE_S), LessThan(RETRY_MAX_DELAY_S + 0.1))
                 self.assertThat(pauses_s, AllMatch(is_bounded))
 
