Log and count the source's era and the changes that are ignored

Cause: the lines could not tell whether a change of the restored store was not read, not passed on or ignored, nor from which state of the store an answer came.

Change: the store's client reads the header Store-Era; E205 carries it, E209 reports that it rose, E210 a change of other content ignored as older than what is held. Two counters and a gauge go with them.

--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -43,6 +43,8 @@
     PAUSES = 'pauses'
     ANSWERED_ELSEWHERE = 'answered_elsewhere'
     EJECTIONS = 'ejections'
+    SOURCE_RESTORES = 'source_restores'
+    CHANGES_IGNORED = 'changes_ignored'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
 
--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -152,6 +152,10 @@
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
 
+    def find_change(self, key: str) -> SourceChange | None:
+        """Returns the change held under a key."""
+        return self._change_by_key.get(key)
+
     def is_new(self, source_change: SourceChange) -> bool:
         """Returns whether a change is newer than what is held under its key."""
         return source_change.revision > self._revision_by_key.get(source_change.key, 0)
--- a/berylstair/directory_source.py
+++ b/berylstair/directory_source.py
@@ -15,10 +15,12 @@
     Attributes:
         revision: Revision up to which the answer is complete.
         changes: Items of a listing, or changes seen by a watch.
+        era: Number of times that the source was restored from a copy.
     """
 
     revision: int
     changes: tuple[SourceChange, ...]
+    era: int = 0
 
 
 class HistoryLost(SourceError):
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from berylstair.catalogue import LogEvent
+from berylstair.counter import Traffic
 from berylstair.directory import DecodedChange, SourceChange
 from berylstair.errors import DecodeError, ErrorKind
 from berylstair.ids import Endpoint, InstanceId
@@ -51,6 +52,7 @@
         self._decode_change = decode_change
         self._source_recovered_at = -SOURCE_RECOVERY_GRACE_S
         self._requested_at = -REQUEST_MIN_INTERVAL_S
+        self.source_era: int | None = None
 
     def apply_source_changes(
         self,
@@ -58,6 +60,7 @@
         changes: Iterable[SourceChange],
         now: float,
         is_full_listing: bool = False,
+        era: int = 0,
     ) -> None:
         """Applies what was read from the source.
 
@@ -67,7 +70,9 @@
             now: Current time in seconds.
             is_full_listing: Whether the changes are all items of the source, so
                 that any other key has been removed.
+            era: Era of the source.
         """
+        self._record_era(era, revision)
         source_changes = list(changes)
         if is_full_listing:
             keys = (change.key for change in source_changes)
@@ -147,6 +152,7 @@
     def _apply_change(self, source_change: SourceChange, now: float) -> None:
         core = self._core
         if not core.directory.is_new(source_change):
+            self._report_ignored(source_change)
             return
         try:
             change = self._decode_change(source_change)
@@ -161,3 +167,26 @@
             f'key={source_change.key} revision={source_change.revision} '
             f'kind={type(change).__name__}',
         )
+
+    def _report_ignored(self, source_change: SourceChange) -> None:
+        """Logs and counts a change that is older than what is held but has other content."""
+        held = self._core.directory.find_change(source_change.key)
+        if held is None or held.value == source_change.value:
+            return
+        self._core.counters.record_traffic(Traffic.CHANGES_IGNORED)
+        self._core.log(
+            LogEvent.CHANGE_IGNORED,
+            f'key={source_change.key} revision={source_change.revision} '
+            f'held_revision={held.revision}',
+        )
+
+    def _record_era(self, era: int, revision: int) -> None:
+        """Logs and counts a change of the source's era."""
+        if self.source_era is not None and era != self.source_era:
+            self._core.counters.record_traffic(Traffic.SOURCE_RESTORES)
+            self._core.log(
+                LogEvent.SOURCE_RESTORED,
+                f'era={era} previous_era={self.source_era} revision={revision} '
+                f'held_revision={self._core.directory.revision}',
+            )
+        self.source_era = era
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -14,6 +14,8 @@
 
 __all__ = ['StoreSource']
 
+# Rises by one each time the store is restored from a copy.
+_ERA_HEADER = 'Store-Era'
 _HTTP_GONE = 410
 _HTTP_OK = 200
 _MS_PER_S = 1000
@@ -28,11 +30,13 @@
         revision: The store's revision when it answered.
         changes: Items or events.
         has_more: Whether further items follow on the next page.
+        era: Number of times that the store was restored from a copy.
     """
 
     revision: int
     changes: tuple[SourceChange, ...]
     has_more: bool = False
+    era: int = 0
 
 
 class StoreSource(DirectorySource):
@@ -69,7 +73,7 @@
             listed_items.extend(page.changes)
             has_more = page.has_more and bool(page.changes)
             after_key = listed_items[-1].key if listed_items else ''
-        return SourceListing(revision, tuple(listed_items))
+        return SourceListing(revision, tuple(listed_items), page.era)
 
     def watch(self, after_revision: int, wait_s: float) -> SourceListing:
         """Waits for changes after a revision.
@@ -90,7 +94,7 @@
             '/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S, _decode_events
         )
         newest = max((event.revision for event in answer.changes), default=after_revision)
-        return SourceListing(max(answer.revision, newest), answer.changes)
+        return SourceListing(max(answer.revision, newest), answer.changes, answer.era)
 
     def close(self) -> None:
         """Closes the connection; a call in another thread then fails with an error."""
@@ -112,7 +116,8 @@
             SourceError: The store did not answer, or not in its own format.
         """
         try:
-            return decode(self._get_json(f'{path}?{urlencode(query)}', timeout_s))
+            answer, era = self._get_json(f'{path}?{urlencode(query)}', timeout_s)
+            return decode(answer)._replace(era=era)
         except (OSError, HTTPException) as error:
             self.close()
             raise SourceError(f'{type(error).__name__}: {error}') from error
@@ -120,7 +125,8 @@
             self.close()
             raise SourceError(f'answer cannot be decoded: {error!r}') from error
 
-    def _get_json(self, target: str, timeout_s: float) -> dict[str, Any]:
+    def _get_json(self, target: str, timeout_s: float) -> tuple[dict[str, Any], int]:
+        """Returns the JSON object that the store answers, and the store's era."""
         connection = self._open_connection(timeout_s)
         connection.request('GET', target)
         response = connection.getresponse()
@@ -134,7 +140,7 @@
         loaded = json.loads(body)
         if not isinstance(loaded, dict):
             raise TypeError('not a JSON object')
-        return loaded
+        return loaded, int(response.headers.get(_ERA_HEADER, 0))
 
     def _open_connection(self, timeout_s: float) -> HTTPConnection:
         connection = self._connection
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -91,12 +91,14 @@
 
         def apply(now: float) -> None:
             self._steering.directory_sync.apply_source_changes(
-                listing.revision, listing.changes, now, is_full_listing
+                listing.revision, listing.changes, now, is_full_listing, listing.era
             )
             self._steering.confirm_source(now)
             if self._is_source_lost:
                 self._is_source_lost = False
-                self._log.write(LogEvent.SOURCE_BACK, f'revision={listing.revision}')
+                self._log.write(
+                    LogEvent.SOURCE_BACK, f'revision={listing.revision} era={listing.era}'
+                )
 
         self.post(apply)
 
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -61,6 +61,11 @@
                 len(core.fleet.membership.reachable),
             ),
             ('directory_revision', 'Directory revision in force.', core.directory.revision),
+            (
+                'source_era',
+                'Era of the source at the last read, which rises when it is restored from a copy.',
+                self._steering.directory_sync.source_era or 0,
+            ),
             (
                 'is_ready',
                 '1 while the fabric may send packets here, else 0.',
