--- a/emulator/platform_fleet.py
+++ b/emulator/platform_fleet.py
@@ -384,10 +384,10 @@
         entry = make_server_entry('mapserve', server.endpoint, state)
         return self.store.put(f'servers/{server.name}', entry | overrides)
 
-    def publish_routes(self, version: int, port: int = DEFAULT_SERVICE_PORT) -> None:
-        """Publishes a configuration with one route."""
+    def publish_routes(self, version: int, port: int = DEFAULT_SERVICE_PORT) -> int:
+        """Publishes a configuration with one route and returns its revision."""
         routes = [make_route('valve-map', 'mapserve', port)]
-        self.store.put('op/config', make_configuration(version, routes))
+        return self.store.put('op/config', make_configuration(version, routes))
 
     def _make_settings(self, number: int, source: Endpoint | None) -> dict[str, Any]:
         packets, ready, control, peers, *_ = self.ports
--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from base64 import b64encode
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -11,7 +12,7 @@
 
 from berylstair.ids import Endpoint
 
-__all__ = ['PlatformStore', 'StoreFault']
+__all__ = ['PlatformStore', 'StoreCopy', 'StoreFault']
 
 PAGE_ITEMS = 50
 SILENT_FAULT_S = 5.0
@@ -38,11 +39,22 @@
     SLOW = 'slow'
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Content of the store at a revision."""
+
+    revision: int
+    compacted_revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]] = field(default_factory=list)
+
+
 class PlatformStore:
     """Key-value store with one revision counter and a history that can be compacted.
 
     Attributes:
         call_count: Calls answered so far, including those with an error.
+        era: Rises by one with each restore; sent in the header ``Store-Era``.
         fault: Fault in effect.
         endpoint: Where it serves.
     """
@@ -50,6 +62,7 @@
     def __init__(self, listen: Endpoint) -> None:
         """Starts serving on a thread of its own; port 0 selects any free port."""
         self.call_count = 0
+        self.era = 1
         self.fault = StoreFault.NONE
         self._changed = threading.Condition()
         self._revision = 1
@@ -92,12 +105,32 @@
             self._compacted_revision = self._revision
             self._events = []
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy of the content, for ``restore``."""
+        with self._changed:
+            return StoreCopy(
+                self._revision, self._compacted_revision, dict(self._items), list(self._events)
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy, which loses all later writes and reuses their revisions.
+
+        Watches that wait are cut.
+        """
+        with self._changed:
+            self.era += 1
+            self._revision = copy.revision
+            self._compacted_revision = copy.compacted_revision
+            self._items = dict(copy.items)
+            self._events = list(copy.events)
+            self._changed.notify_all()
+
     def close(self) -> None:
         """Stops serving."""
         self._server.shutdown()
         self._server.server_close()
 
-    def handle_request(self, path: str, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    def handle_request(self, path: str, query: dict[str, str]) -> tuple[int, dict[str, Any]] | None:
         """Answers one call.
 
         Args:
@@ -105,7 +138,7 @@
             query: Parameters of the URL's query.
 
         Returns:
-            HTTP status and body.
+            HTTP status and body, None to close the connection without an answer.
         """
         self.call_count += 1
         if self.fault is StoreFault.BUSY:
@@ -132,13 +165,14 @@
                 'store_revision': self._revision,
             }
 
-    def _wait_for_events(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    def _wait_for_events(self, query: dict[str, str]) -> tuple[int, dict[str, Any]] | None:
         after_revision = int(query['after'])
         deadline = time.monotonic() + int(query['wait_ms']) / 1000
         with self._changed:
-            if after_revision < self._compacted_revision:
+            if not self._compacted_revision <= after_revision <= self._revision:
                 return 410, {}
-            while True:
+            era = self.era
+            while era == self.era:
                 events = [event for event in self._events if event['rev'] > after_revision]
                 if self.fault is StoreFault.WATCH_SILENT:
                     events = []
@@ -146,6 +180,8 @@
                 if events or remaining_s <= 0:
                     break
                 self._changed.wait(remaining_s)
+            else:
+                return None
             revision = events[-1]['rev'] if events else after_revision
             return 200, {'events': events, 'store_revision': revision}
 
@@ -171,10 +207,15 @@
                 return
             target = urlsplit(self.path)
             query = {key: values[0] for key, values in parse_qs(target.query).items()}
-            status, body = store.handle_request(target.path, query)
+            answer = store.handle_request(target.path, query)
+            if answer is None:
+                self.close_connection = True
+                return
+            status, body = answer
             data = json.dumps(body).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
+            self.send_header('Store-Era', str(store.era))
             self.send_header('Content-Length', str(len(data)))
             self.end_headers()
             self.wfile.write(data)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -136,6 +136,21 @@
                 'flows to the removed route are reset',
             )
 
+    def test_a_version_whose_revision_was_given_out_before_a_restore_is_in_force(self) -> None:
+        fleet = self.start_fleet()
+        caller = fleet.add_caller()
+        copy = fleet.store.make_copy()
+        fleet.publish_routes(2)
+        fleet.wait_for_revision(fleet.publish_routes(3))
+        fleet.store.restore(copy)
+        fleet.publish_routes(3)
+        fleet.publish_routes(4, port=444)
+        for number in range(3):
+            wait_until(
+                lambda index=number: caller.send_request(fleet.packet_endpoint(index)) == b'RST',
+                'flows to the route removed after the restore are reset',
+            )
+
     def test_a_stopping_instance_still_serves_and_exits_cleanly(self) -> None:
         fleet = self.start_fleet()
         caller = fleet.add_caller()
