--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -1,4 +1,4 @@
-"""Routes and backend servers in force, versioned by the revision of their source."""
+"""Routes and backend servers in force, ordered by their source and by their writers."""
 
 import math
 from collections.abc import Iterable
@@ -10,33 +10,70 @@
 from berylstair.tag import tag_of
 
 __all__ = [
+    'START_POSITION',
     'Configuration',
     'ConfigurationPublished',
     'DecodedChange',
     'Directory',
+    'Position',
     'Route',
     'ServerListed',
     'ServerRegistration',
     'ServerRemoved',
     'SourceChange',
+    'WriterVersion',
 ]
 
 # A removed server is kept this much longer than its last flow may last.
 REMOVED_SERVER_MARGIN_S = 15.0
 
 
+class Position(NamedTuple):
+    """Position in the source's order of changes.
+
+    Attributes:
+        era: Number of restores of the source. Each restore loses the newest
+            changes and gives out their revisions again.
+        revision: Revision of the source in that era.
+    """
+
+    era: int
+    revision: int
+
+
+START_POSITION = Position(0, 0)
+
+
+class WriterVersion(NamedTuple):
+    """Version that the writer of an item gives its content, whatever the source loses.
+
+    Attributes:
+        lifetime: Start time of the writer's process in ms since 1970; 0 if one
+            order holds over all of its lifetimes.
+        number: Rises with each content written in the lifetime.
+    """
+
+    lifetime: int = 0
+    number: int = 0
+
+
 class SourceChange(NamedTuple):
     """A change as the source wrote it; peers forward it in this form.
 
     Attributes:
         key: Key of the item that changed.
-        revision: Revision of the source with this change.
+        position: Position of the source with this change.
         value: New content, None if the item was removed.
+        writer_version: Version of the content, or of the removed content. The
+            source does not state it; the directory fills it in.
+        is_ahead: Whether the source lost this content and holds an older one.
     """
 
     key: str
-    revision: int
+    position: Position
     value: bytes | None
+    writer_version: WriterVersion = WriterVersion()
+    is_ahead: bool = False
 
 
 class ServerRegistration(NamedTuple):
@@ -45,6 +82,7 @@
     Attributes:
         started_at_ms: Start time of its process in ms since 1970, 0 if unknown;
             a restarted server has lost its earlier flows.
+        sequence: Number of the server's report, counted from its start.
         warmup_left_s: Seconds of warm-up, during which the server is slower,
             that were left when it registered.
     """
@@ -52,6 +90,7 @@
     server: BackendServer
     service: ServiceName
     started_at_ms: int = 0
+    sequence: int = 0
     warmup_left_s: float = 0.0
 
 
@@ -137,16 +176,20 @@
 class Directory:
     """Holds the newest content of each key and never reverts to an older one.
 
-    Changes may arrive from the source and from peers, in any order: of two
-    with the same key the higher revision wins.
+    Changes may arrive from the source and from peers, in any order, and the
+    source may go back to older contents. Of two contents of a key the one with
+    the higher version of its writer wins; a removal wins over all contents at
+    lower positions.
+
+    Attributes:
+        position: Position of the source up to which every change was applied.
     """
 
     def __init__(self) -> None:
-        """Creates an empty directory at revision 0."""
-        self.revision = 0
+        """Creates an empty directory at the start position."""
+        self.position = START_POSITION
         self.configuration: Configuration | None = None
         self.routed_services_by_address: dict[Endpoint, set[ServiceName]] = {}
-        self._revision_by_key: dict[str, int] = {}
         self._change_by_key: dict[str, SourceChange] = {}
         self._pool_by_service: dict[ServiceName, _ServicePool] = {}
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
@@ -156,15 +199,34 @@
         """Returns the change held under a key."""
         return self._change_by_key.get(key)
 
-    def is_new(self, source_change: SourceChange) -> bool:
-        """Returns whether a change is newer than what is held under its key."""
-        return source_change.revision > self._revision_by_key.get(source_change.key, 0)
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    def confirm_unchanged(self, source_change: SourceChange) -> bool:
+        """Moves a held change to a new position if the content there is the same.
+
+        Returns:
+            Whether the content is the same.
+        """
+        held = self._change_by_key.get(source_change.key)
+        if held is None or held.value != source_change.value:
+            return False
+        if source_change.position >= held.position:
+            self._change_by_key[held.key] = held._replace(
+                position=source_change.position, is_ahead=source_change.is_ahead
+            )
+        return True
 
     def apply(
         self, source_change: SourceChange, change: DecodedChange | None, now: float, grace_s: float
     ) -> bool:
         """Applies a change if it is newer than what is held under its key.
 
+        If the source now has an older content at a higher position, the held
+        content stays and is marked as ahead of the source.
+
         Args:
             source_change: The change as the source wrote it.
             change: The same change decoded; None for a key that is not used.
@@ -174,10 +236,19 @@
         Returns:
             Whether it was newer than what was held.
         """
-        if not self.is_new(source_change):
+        held = self._change_by_key.get(source_change.key)
+        if change is None and held is None:
             return False
-        self._revision_by_key[source_change.key] = source_change.revision
-        self._change_by_key[source_change.key] = source_change
+        versioned = source_change._replace(
+            writer_version=_find_writer_version(source_change, change, held)
+        )
+        if held is not None and not _is_newer(versioned, change, held):
+            if versioned.position > held.position:
+                self._change_by_key[held.key] = held._replace(
+                    position=versioned.position, is_ahead=True
+                )
+            return False
+        self._change_by_key[versioned.key] = versioned
         if isinstance(change, ServerListed):
             self._add_server(change.registration, now)
         elif isinstance(change, ServerRemoved):
@@ -186,29 +257,45 @@
             self._apply_configuration(change.configuration)
         return True
 
-    def advance_revision(self, revision: int) -> None:
-        """Records that every change up to a revision has been applied."""
-        self.revision = max(self.revision, revision)
+    def advance(self, position: Position) -> None:
+        """Records that every change up to a position has been applied."""
+        self.position = max(self.position, position)
 
-    def keys_absent_from(self, keys: Iterable[str], revision: int) -> list[str]:
+    def keys_absent_from(self, keys: Iterable[str], position: Position) -> list[str]:
         """Returns the keys held here that a complete listing lacks.
 
         Args:
             keys: Keys of the listing.
-            revision: Revision at which the listing began; keys that changed
+            position: Position at which the listing began; keys that changed
                 later are not returned.
         """
         listed = set(keys)
         return [
             key
             for key, change in self._change_by_key.items()
-            if change.value is not None and key not in listed and change.revision <= revision
+            if change.value is not None and key not in listed and change.position <= position
         ]
 
-    def changes_after(self, revision: int) -> list[SourceChange]:
-        """Returns the changes after a revision, oldest first, to send them to a peer."""
-        newer = [change for change in self._change_by_key.values() if change.revision > revision]
-        return sorted(newer, key=lambda change: change.revision)
+    def keys_before_era(self, era: int) -> list[str]:
+        """Returns the keys whose contents were not seen in an era of the source or later."""
+        return [
+            key
+            for key, change in self._change_by_key.items()
+            if change.value is not None and change.position.era < era
+        ]
+
+    def changes_after(self, position: Position) -> list[SourceChange]:
+        """Returns the changes that a peer at a position may lack, oldest first.
+
+        Contents ahead of the source are among them, as the peer may have read
+        the older ones from the source.
+        """
+        newer = [
+            change
+            for change in self._change_by_key.values()
+            if change.is_ahead or change.position > position
+        ]
+        return sorted(newer, key=lambda change: change.position)
 
     def find_route(self, address: Endpoint) -> Route | None:
         """Returns the route of a service address, None if none is in force."""
@@ -326,3 +413,40 @@
             for entry in (*registered, *in_grace)
             if entry.registration.server.is_accepting
         )
+
+
+def _find_writer_version(
+    source_change: SourceChange, change: DecodedChange | None, held: SourceChange | None
+) -> WriterVersion:
+    """Returns the version of a content; that of the newest known content for a removal."""
+    if isinstance(change, ServerListed):
+        return WriterVersion(change.registration.started_at_ms, change.registration.sequence)
+    if isinstance(change, ConfigurationPublished):
+        return WriterVersion(number=change.configuration.version)
+    known = held.writer_version if held else WriterVersion()
+    return max(known, source_change.writer_version)
+
+
+def _is_newer(
+    source_change: SourceChange, change: DecodedChange | None, held: SourceChange
+) -> bool:
+    """Returns whether a change is newer than the one held under its key."""
+    if change is None:
+        return False
+    is_other_lifetime = source_change.writer_version.lifetime != held.writer_version.lifetime
+    is_same_era = source_change.position.era == held.position.era
+    if isinstance(change, ServerRemoved):
+        return source_change.position > held.position
+    # A writer whose clock was set back starts a lifetime with a lower number, so within an
+    # era the source decides between lifetimes.
+    if is_other_lifetime and is_same_era:
+        return _by_position(source_change) > _by_position(held)
+    return _by_writer(source_change) > _by_writer(held)
+
+
+def _by_position(change: SourceChange) -> tuple[Position, WriterVersion]:
+    return change.position, change.writer_version
+
+
+def _by_writer(change: SourceChange) -> tuple[WriterVersion, Position]:
+    return change.writer_version, change.position
--- a/berylstair/directory_reader.py
+++ b/berylstair/directory_reader.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from berylstair.directory import START_POSITION, Position
 from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
 from berylstair.errors import SourceError
 
@@ -25,15 +26,15 @@
 
 
 class ReadPlan(NamedTuple):
-    """Tells the reader whether to read, and from which revision on.
+    """Tells the reader whether to read, and from which position on.
 
     Attributes:
         is_due: Whether the source is to be read now.
-        revision: Revision up to which the directory is complete, 0 at first.
+        position: Position up to which the directory is complete.
     """
 
     is_due: bool
-    revision: int
+    position: Position
 
 
 class ReadSink(NamedTuple):
@@ -95,7 +96,7 @@
             self._pause(IDLE_POLL_INTERVAL_S)
             return
         try:
-            self._read(plan.revision)
+            self._read(plan.position)
         except Exception as error:  # noqa: BLE001 no answer of the source may end the reader
             self._needs_listing = self._needs_listing or isinstance(error, HistoryLost)
             self._sink.handle_failure(_describe_failure(error))
@@ -107,12 +108,12 @@
         delay_s = min(RETRY_BASE_DELAY_S * 2 ** min(self._failure_count, 4), RETRY_MAX_DELAY_S)
         return delay_s * (0.5 + self._rng.random() / 2)
 
-    def _read(self, revision: int) -> None:
-        is_full_listing = self._needs_listing or revision == 0
+    def _read(self, position: Position) -> None:
+        is_full_listing = self._needs_listing or position == START_POSITION
         if is_full_listing:
             listing = self._source.read_all()
         else:
-            listing = self._source.watch(revision, WATCH_TIMEOUT_S)
+            listing = self._source.watch(position, WATCH_TIMEOUT_S)
         self._needs_listing = False
         self._failure_count = 0
         self._sink.handle_listing(listing, is_full_listing)
--- a/berylstair/directory_source.py
+++ b/berylstair/directory_source.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from berylstair.directory import SourceChange
+from berylstair.directory import Position, SourceChange
 from berylstair.errors import SourceError
 
 __all__ = ['DirectorySource', 'HistoryLost', 'SourceListing']
@@ -13,18 +13,16 @@
     """One answer of a source.
 
     Attributes:
-        revision: Revision up to which the answer is complete.
+        position: Position up to which the answer is complete.
         changes: Items of a listing, or changes seen by a watch.
-        era: Number of times that the source was restored from a copy.
     """
 
-    revision: int
+    position: Position
     changes: tuple[SourceChange, ...]
-    era: int = 0
 
 
 class HistoryLost(SourceError):
-    """The source no longer has the changes after the given revision."""
+    """The source no longer has the changes after the given position."""
 
 
 class DirectorySource(ABC):
@@ -39,8 +37,8 @@
         """
 
     @abstractmethod
-    def watch(self, after_revision: int, wait_s: float) -> SourceListing:
-        """Waits for changes after a revision.
+    def watch(self, after: Position, wait_s: float) -> SourceListing:
+        """Waits for changes after a position.
 
         Raises:
             HistoryLost: The source no longer has the changes; a listing is needed first.
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -1,10 +1,11 @@
 """Synchronizes the directory with its source and with the peers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Traffic
-from berylstair.directory import DecodedChange, SourceChange
+from berylstair.directory import START_POSITION, DecodedChange, Position, SourceChange
+from berylstair.directory_source import SourceListing
 from berylstair.errors import DecodeError, ErrorKind
 from berylstair.ids import Endpoint, InstanceId
 from berylstair.steering_action import FetchDirectory, SendMessage
@@ -12,6 +13,7 @@
 from berylstair.steering_message import (
     DirectoryReply,
     DirectoryUpdate,
+    FleetHeartbeat,
     decode_change_rows,
     encode_change_rows,
 )
@@ -52,59 +54,69 @@
         self._decode_change = decode_change
         self._source_recovered_at = -SOURCE_RECOVERY_GRACE_S
         self._requested_at = -REQUEST_MIN_INTERVAL_S
-        self.source_era: int | None = None
+        self._fetched_era = -1
 
     def apply_source_changes(
-        self,
-        revision: int,
-        changes: Iterable[SourceChange],
-        now: float,
-        is_full_listing: bool = False,
-        era: int = 0,
-    ) -> None:
+        self, listing: SourceListing, is_full_listing: bool, now: float
+    ) -> bool:
         """Applies what was read from the source.
 
         Args:
-            revision: Revision up to which the changes are complete.
-            changes: Changes or items, in any order.
-            now: Current time in seconds.
+            listing: Changes or items, in any order.
             is_full_listing: Whether the changes are all items of the source, so
                 that any other key has been removed.
-            era: Era of the source.
+            now: Current time in seconds.
+
+        Returns:
+            Whether they were applied; False if the source was restored since.
         """
-        self._record_era(era, revision)
-        source_changes = list(changes)
+        changes = list(listing.changes)
         if is_full_listing:
-            keys = (change.key for change in source_changes)
-            absent = self._core.directory.keys_absent_from(keys, revision)
-            source_changes.extend(SourceChange(key, revision, None) for key in absent)
-        self._apply_changes(revision, source_changes, READER_FANOUT_PEERS, now)
+            keys = (change.key for change in changes)
+            absent_keys = self._core.directory.keys_absent_from(keys, listing.position)
+            changes.extend(SourceChange(key, listing.position, None) for key in absent_keys)
+        return self._apply_changes(listing.position, changes, READER_FANOUT_PEERS, now)
 
     def apply_fetched_changes(self, fetched: DirectoryReply, now: float) -> None:
         """Applies changes that were fetched from a peer."""
+        self._fetched_era = max(self._fetched_era, fetched.era)
         self._apply_changes(
-            fetched.revision, decode_change_rows(fetched.rows), self._relay_fanout, now
+            fetched.position, decode_change_rows(fetched.rows), self._relay_fanout, now
         )
 
-    def encode_changes_after(self, revision: int) -> DirectoryReply:
-        """Returns the changes after a revision, to send them to a peer."""
-        rows = encode_change_rows(self._core.directory.changes_after(revision))
-        return DirectoryReply(self._core.directory.revision, rows)
+    def encode_changes_after(self, position: Position) -> DirectoryReply:
+        """Returns the changes after a position, to send them to a peer."""
+        rows = encode_change_rows(self._core.directory.changes_after(position))
+        return DirectoryReply(*self._core.directory.position, rows)
+
+    def may_lack_changes_of(self, heartbeat: FleetHeartbeat) -> bool:
+        """Returns whether the sender of a heartbeat may hold changes that are missing here.
+
+        In each era one peer is asked even if its position is the same: it may
+        hold contents that the source lost.
+        """
+        directory = self._core.directory
+        era = directory.position.era
+        return (
+            heartbeat.position > directory.position
+            or heartbeat.configuration_version > directory.configuration_version
+            or (heartbeat.era == era and era > self._fetched_era)
+        )
 
     def request_changes(self, target: Endpoint, now: float) -> None:
         """Fetches newer changes from a peer, unless any peer was asked just before."""
         if now - self._requested_at >= REQUEST_MIN_INTERVAL_S:
             self._requested_at = now
-            self._core.actions.append(FetchDirectory(target, self._core.directory.revision))
+            self._core.actions.append(FetchDirectory(target, self._core.directory.position))
 
     def handle_update(self, peer: InstanceId, update: DirectoryUpdate, now: float) -> None:
         """Applies changes that a peer sent, or requests the missing ones before them."""
-        revision = self._core.directory.revision
-        if update.revision <= revision:
+        position = self._core.directory.position
+        if update.position <= position:
             return
-        if update.after_revision <= revision:
+        if update.after <= position:
             self._apply_changes(
-                update.revision, decode_change_rows(update.rows), self._relay_fanout, now
+                update.position, decode_change_rows(update.rows), self._relay_fanout, now
             )
             return
         target = self._core.fleet.find_endpoint(peer)
@@ -117,21 +129,50 @@
         return RELAY_FANOUT_PEERS if self._core.fleet.is_large else 0
 
     def _apply_changes(
-        self, revision: int, changes: list[SourceChange], fanout: int, now: float
-    ) -> None:
-        """Applies changes and propagates them to some peers if they are new."""
+        self, position: Position, changes: list[SourceChange], fanout: int, now: float
+    ) -> bool:
+        """Applies changes and propagates them to some peers if they are new.
+
+        Returns:
+            False if they are from before a restore of the source that is known here.
+        """
         directory = self._core.directory
+        previous = directory.position
+        if position.era < previous.era:
+            return False
+        is_restored = position.era > previous.era and previous != START_POSITION
         age_s = self._core.fleet.membership.confirmation_age_s(now)
-        if age_s is not None and age_s > self._core.settings.time_limits.entry_expiry_s:
+        expiry_s = self._core.settings.time_limits.entry_expiry_s
+        if is_restored or (age_s is not None and age_s > expiry_s):
             self._source_recovered_at = now
-        previous_revision = directory.revision
         for change in changes:
             self._apply_change(change, now)
-        directory.advance_revision(revision)
-        if previous_revision and directory.revision != previous_revision:
-            self._propagate_changes(previous_revision, fanout, now)
+        if is_restored:
+            self._finish_restore(previous, position, now)
+        directory.advance(position)
+        if previous != START_POSITION and directory.position != previous:
+            self._propagate_changes(previous, fanout, now)
+        return True
+
+    def _finish_restore(self, previous: Position, position: Position, now: float) -> None:
+        """Removes the contents that the restored source does not have, and reports the restore.
+
+        All changes of the new era have been applied, so a key without one is
+        not in the source. Its server keeps accepting flows for a grace period,
+        in which it may register again.
+        """
+        core = self._core
+        lost_keys = core.directory.keys_before_era(position.era)
+        for key in lost_keys:
+            self._apply_change(SourceChange(key, position, None), now)
+        core.counters.record_traffic(Traffic.SOURCE_RESTORES)
+        core.log(
+            LogEvent.SOURCE_RESTORED,
+            f'era={position.era} previous_era={previous.era} revision={position.revision} '
+            f'held_revision={previous.revision} lost={len(lost_keys)}',
+        )
 
-    def _propagate_changes(self, previous_revision: int, fanout: int, now: float) -> None:
+    def _propagate_changes(self, previous: Position, fanout: int, now: float) -> None:
         """Sends changes to some peers, which forward them.
 
         Changes that are too large for a datagram are only announced, by a
@@ -141,18 +182,17 @@
         targets = core.fleet.sample_reachable_endpoints(fanout)
         if not targets:
             return
-        reply = self.encode_changes_after(previous_revision)
+        reply = self.encode_changes_after(previous)
         size_bytes = sum(len(row.value) + len(row.key) for row in reply.rows)
         if size_bytes > MAX_UPDATE_BYTES:
             core.send_heartbeat(targets[:FETCH_FANOUT_PEERS], now)
             return
-        message = DirectoryUpdate(previous_revision, reply.revision, reply.rows)
+        message = DirectoryUpdate(*previous, *reply.position, reply.rows)
         core.actions.extend(SendMessage(target, message) for target in targets)
 
     def _apply_change(self, source_change: SourceChange, now: float) -> None:
         core = self._core
-        if not core.directory.is_new(source_change):
-            self._report_ignored(source_change)
+        if core.directory.confirm_unchanged(source_change):
             return
         try:
             change = self._decode_change(source_change)
@@ -160,33 +200,19 @@
             core.counters.record_refusal(ErrorKind.RECORD_INVALID)
             core.log(LogEvent.RECORD_REFUSED, f'key={source_change.key} {error}')
             return
+        held = core.directory.find_change(source_change.key)
         grace_s = max(self._source_recovered_at + SOURCE_RECOVERY_GRACE_S - now, 0)
-        core.directory.apply(source_change, change, now, grace_s)
-        core.log(
-            LogEvent.RECORD_ADOPTED,
-            f'key={source_change.key} revision={source_change.revision} '
-            f'kind={type(change).__name__}',
-        )
-
-    def _report_ignored(self, source_change: SourceChange) -> None:
-        """Logs and counts a change that is older than what is held but has other content."""
-        held = self._core.directory.find_change(source_change.key)
-        if held is None or held.value == source_change.value:
-            return
-        self._core.counters.record_traffic(Traffic.CHANGES_IGNORED)
-        self._core.log(
-            LogEvent.CHANGE_IGNORED,
-            f'key={source_change.key} revision={source_change.revision} '
-            f'held_revision={held.revision}',
-        )
-
-    def _record_era(self, era: int, revision: int) -> None:
-        """Logs and counts a change of the source's era."""
-        if self.source_era is not None and era != self.source_era:
-            self._core.counters.record_traffic(Traffic.SOURCE_RESTORES)
-            self._core.log(
-                LogEvent.SOURCE_RESTORED,
-                f'era={era} previous_era={self.source_era} revision={revision} '
-                f'held_revision={self._core.directory.revision}',
+        position = source_change.position
+        if core.directory.apply(source_change, change, now, grace_s):
+            core.log(
+                LogEvent.RECORD_ADOPTED,
+                f'key={source_change.key} revision={position.revision} era={position.era} '
+                f'kind={type(change).__name__}',
+            )
+        elif held is not None:
+            core.counters.record_traffic(Traffic.CHANGES_IGNORED)
+            core.log(
+                LogEvent.CHANGE_IGNORED,
+                f'key={source_change.key} revision={position.revision} era={position.era} '
+                f'held_revision={held.position.revision} held_era={held.position.era}',
             )
-        self.source_era = era
--- a/berylstair/fleet.py
+++ b/berylstair/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from random import Random
 
+from berylstair.directory import Directory, Position
 from berylstair.dispatcher_ranking import DispatcherRanking
 from berylstair.heartbeat import Heartbeat
 from berylstair.ids import Endpoint, InstanceId, ServiceName, ZoneId
@@ -189,39 +190,39 @@
         return message.instance == self.own_id and message.incarnation == self._incarnation
 
     def make_heartbeat(
-        self, revision: int, now: float, wants_answer: bool = False
+        self, directory: Directory, now: float, wants_answer: bool = False
     ) -> FleetHeartbeat:
         """Returns a heartbeat.
 
         Args:
-            revision: Revision of the local directory.
+            directory: The local directory.
             now: Current time in seconds.
             wants_answer: Whether the receiver must answer, as to a probe.
         """
         members = list(self._instance_by_id.values())
         if len(members) > MEMBERS_PER_HEARTBEAT:
             members = self._rng.sample(members, MEMBERS_PER_HEARTBEAT)
-        return self._build_heartbeat(revision, now, members, wants_answer)
+        return self._build_heartbeat(directory, now, members, wants_answer)
 
-    def make_membership_heartbeats(self, revision: int, now: float) -> list[FleetHeartbeat]:
+    def make_membership_heartbeats(self, directory: Directory, now: float) -> list[FleetHeartbeat]:
         """Returns heartbeats that together name all members, for a new peer."""
         members = list(self._instance_by_id.values())
         return [
             self._build_heartbeat(
-                revision, now, members[start : start + MEMBERS_PER_DATAGRAM], False
+                directory, now, members[start : start + MEMBERS_PER_DATAGRAM], False
             )
             for start in range(0, len(members), MEMBERS_PER_DATAGRAM)
         ]
 
     def apply_heartbeat(
-        self, ip: str, message: FleetHeartbeat, revision: int, now: float
+        self, ip: str, message: FleetHeartbeat, position: Position, now: float
     ) -> list[InstanceId]:
         """Applies a heartbeat.
 
         Args:
             ip: IP address of the sender.
             message: The heartbeat.
-            revision: Revision of the local directory.
+            position: Position of the local directory.
             now: Current time in seconds.
 
         Returns:
@@ -241,7 +242,7 @@
         self._last_seen_by_id[sender] = now
         self._probing.clear_pending(sender)
         self._seen_zones.add(ZoneId(message.zone))
-        is_behind = message.revision > revision
+        is_behind = message.position > position
         heartbeat = Heartbeat(
             self._count_starts(sender, message.incarnation),
             b'',
@@ -294,7 +295,7 @@
         return self.own_id in choose_source_readers(eligible)
 
     def _build_heartbeat(
-        self, revision: int, now: float, members: list[Instance], wants_answer: bool
+        self, directory: Directory, now: float, members: list[Instance], wants_answer: bool
     ) -> FleetHeartbeat:
         age_s = self.membership.confirmation_age_s(now)
         confirmation_age_ms = UNCONFIRMED_AGE_MS if age_s is None else round(age_s * MS_PER_S)
@@ -302,7 +303,8 @@
             self.own_id,
             self._settings.zone,
             self._incarnation,
-            revision,
+            *directory.position,
+            directory.configuration_version,
             confirmation_age_ms,
             self.membership.is_leaving,
             self._settings.capacity.placements_per_s,
--- a/berylstair/liveness.py
+++ b/berylstair/liveness.py
@@ -95,7 +95,7 @@
             core.fleet.find_endpoint(sender) is not None
             and sender not in core.fleet.membership.reachable
         )
-        new_peers = core.fleet.apply_heartbeat(ip, heartbeat, core.directory.revision, now)
+        new_peers = core.fleet.apply_heartbeat(ip, heartbeat, core.directory.position, now)
         target = core.fleet.find_endpoint(sender)
         if target is None:
             return
@@ -115,7 +115,7 @@
             # A partition may have healed, so other unreachable peers may be back as well.
             self._recovery_probed_at = now
             core.send_heartbeat(core.fleet.unreachable_endpoints(), now, wants_answer=True)
-        if heartbeat.revision > core.directory.revision:
+        if self._sync.may_lack_changes_of(heartbeat):
             self._sync.request_changes(target, now)
         self._handle_reachability_change(now)
 
@@ -132,10 +132,10 @@
     def _send_introduction(self, target: Endpoint, heartbeat: FleetHeartbeat, now: float) -> None:
         """Answers a new peer; one that knows few instances is sent the names of all."""
         core = self._core
-        answer = core.fleet.make_heartbeat(core.directory.revision, now)
+        answer = core.fleet.make_heartbeat(core.directory, now)
         messages = [answer]
         if heartbeat.known_instance_count < answer.known_instance_count * NEWCOMER_KNOWN_RATIO:
-            messages = core.fleet.make_membership_heartbeats(core.directory.revision, now)
+            messages = core.fleet.make_membership_heartbeats(core.directory, now)
         core.actions.extend(SendMessage(target, message) for message in messages)
 
     def _handle_reachability_change(self, now: float) -> None:
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -49,7 +49,7 @@
             return ConfigurationPublished(_decode_configuration(json.loads(source_change.value)))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise DecodeError(
-                f'configuration at revision {source_change.revision} cannot be decoded: {error!r}'
+                f'configuration at {source_change.position} cannot be decoded: {error!r}'
             ) from error
     return None
 
@@ -80,7 +80,8 @@
     # Entries of older servers lack 'born'.
     started_at_ms = _require_int(entry.get('born', 0))
     service = ServiceName(_require_name(entry['service']))
-    return ServerRegistration(server, service, started_at_ms, warmup_left_ms / _MS_PER_S)
+    sequence = _require_int(entry.get('seq', 0))
+    return ServerRegistration(server, service, started_at_ms, sequence, warmup_left_ms / _MS_PER_S)
 
 
 def _decode_configuration(published: dict[str, Any]) -> Configuration:
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
-from berylstair.directory import SourceChange
+from berylstair.directory import Position, SourceChange
 from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
@@ -23,20 +23,30 @@
 ANSWER_TIMEOUT_S = 0.6
 
 
+class _Answer(NamedTuple):
+    """Content of a successful answer.
+
+    Attributes:
+        era: The store's era when it answered.
+        body: JSON object that it answered with.
+    """
+
+    era: int
+    body: dict[str, Any]
+
+
 class _Page(NamedTuple):
     """Decoded answer to one call.
 
     Attributes:
-        revision: The store's revision when it answered.
+        position: The store's position when it answered.
         changes: Items or events.
         has_more: Whether further items follow on the next page.
-        era: Number of times that the store was restored from a copy.
     """
 
-    revision: int
+    position: Position
     changes: tuple[SourceChange, ...]
     has_more: bool = False
-    era: int = 0
 
 
 class StoreSource(DirectorySource):
@@ -55,46 +65,52 @@
         """Reads all items, page by page.
 
         Returns:
-            The items, and the revision at which the first page was read. The
-            pages are not a consistent snapshot, so changes after that revision
+            The items, and the position at which the first page was read. The
+            pages are not a consistent snapshot, so changes after that position
             have to be read again.
 
         Raises:
+            HistoryLost: The store was restored between two pages.
             SourceError: The store cannot be read now.
         """
         listed_items: list[SourceChange] = []
         after_key = ''
-        revision = 0
+        position: Position | None = None
         has_more = True
         while has_more:
             query = {'prefix': '', 'after': after_key} if after_key else {'prefix': ''}
             page = self._query('/berylstair/kv-range', query, ANSWER_TIMEOUT_S, _decode_page)
-            revision = revision or page.revision
+            position = position or page.position
+            if page.position.era != position.era:
+                raise HistoryLost(f'restored while it was listed: era {page.position.era}')
             listed_items.extend(page.changes)
             has_more = page.has_more and bool(page.changes)
             after_key = listed_items[-1].key if listed_items else ''
-        return SourceListing(revision, tuple(listed_items), page.era)
+        return SourceListing(position or page.position, tuple(listed_items))
 
-    def watch(self, after_revision: int, wait_s: float) -> SourceListing:
-        """Waits for changes after a revision.
+    def watch(self, after: Position, wait_s: float) -> SourceListing:
+        """Waits for changes after a position.
 
         Args:
-            after_revision: Revision up to which all changes are known.
+            after: Position up to which all changes are known.
             wait_s: Seconds for which the store waits for a change.
 
         Returns:
             The changes; empty if nothing changed.
 
         Raises:
-            HistoryLost: The store no longer has all changes after the revision.
+            HistoryLost: The store no longer has all changes after the position.
             SourceError: The store cannot be read now.
         """
-        query = {'prefix': '', 'after': after_revision, 'wait_ms': int(wait_s * _MS_PER_S)}
+        query = {'prefix': '', 'after': after.revision, 'wait_ms': int(wait_s * _MS_PER_S)}
         answer = self._query(
             '/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S, _decode_events
         )
-        newest = max((event.revision for event in answer.changes), default=after_revision)
-        return SourceListing(max(answer.revision, newest), answer.changes, answer.era)
+        # The store accepts a revision of an earlier era once it has given it out again.
+        if answer.position.era != after.era:
+            raise HistoryLost(f'restored: era {answer.position.era}, {after.era} before')
+        newest = max((event.position for event in answer.changes), default=after)
+        return SourceListing(max(answer.position, newest), answer.changes)
 
     def close(self) -> None:
         """Closes the connection; a call in another thread then fails with an error."""
@@ -107,7 +123,7 @@
         path: str,
         query: dict[str, Any],
         timeout_s: float,
-        decode: Callable[[dict[str, Any]], _Page],
+        decode: Callable[[_Answer], _Page],
     ) -> _Page:
         """Calls the store and decodes its answer.
 
@@ -116,8 +132,7 @@
             SourceError: The store did not answer, or not in its own format.
         """
         try:
-            answer, era = self._get_json(f'{path}?{urlencode(query)}', timeout_s)
-            return decode(answer)._replace(era=era)
+            return decode(self._get_answer(f'{path}?{urlencode(query)}', timeout_s))
         except (OSError, HTTPException) as error:
             self.close()
             raise SourceError(f'{type(error).__name__}: {error}') from error
@@ -125,8 +140,7 @@
             self.close()
             raise SourceError(f'answer cannot be decoded: {error!r}') from error
 
-    def _get_json(self, target: str, timeout_s: float) -> tuple[dict[str, Any], int]:
-        """Returns the JSON object that the store answers, and the store's era."""
+    def _get_answer(self, target: str, timeout_s: float) -> _Answer:
         connection = self._open_connection(timeout_s)
         connection.request('GET', target)
         response = connection.getresponse()
@@ -140,7 +154,7 @@
         loaded = json.loads(body)
         if not isinstance(loaded, dict):
             raise TypeError('not a JSON object')
-        return loaded, int(response.headers.get(_ERA_HEADER, 0))
+        return _Answer(int(response.headers.get(_ERA_HEADER, 0)), loaded)
 
     def _open_connection(self, timeout_s: float) -> HTTPConnection:
         connection = self._connection
@@ -155,16 +169,20 @@
         return connection
 
 
-def _decode_page(answer: dict[str, Any]) -> _Page:
-    changes = tuple(_decode_item(entry) for entry in answer['items'])
-    return _Page(int(answer['store_revision']), changes, bool(answer['has_more']))
+def _decode_page(answer: _Answer) -> _Page:
+    changes = tuple(_decode_item(entry, answer.era) for entry in answer.body['items'])
+    return _Page(_decode_position(answer), changes, bool(answer.body['has_more']))
+
+
+def _decode_events(answer: _Answer) -> _Page:
+    changes = tuple(_decode_item(event, answer.era) for event in answer.body['events'])
+    return _Page(_decode_position(answer), changes)
 
 
-def _decode_events(answer: dict[str, Any]) -> _Page:
-    changes = tuple(_decode_item(event) for event in answer['events'])
-    return _Page(int(answer['store_revision']), changes)
+def _decode_position(answer: _Answer) -> Position:
+    return Position(answer.era, int(answer.body['store_revision']))
 
 
-def _decode_item(entry: dict[str, Any]) -> SourceChange:
+def _decode_item(entry: dict[str, Any], era: int) -> SourceChange:
     value = None if entry.get('tombstone') else b64decode(entry['value'], validate=True)
-    return SourceChange(str(entry['key']), int(entry['rev']), value)
+    return SourceChange(str(entry['key']), Position(era, int(entry['rev'])), value)
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -12,6 +12,7 @@
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Traffic
 from berylstair.directory import ServerRegistration
+from berylstair.directory_source import SourceListing
 from berylstair.directory_sync import ChangeDecoder, DirectorySync
 from berylstair.errors import ErrorKind
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
@@ -156,9 +157,13 @@
         else:
             handle(peer, message, now)
 
-    def confirm_source(self, now: float) -> None:
-        """Records that the source has nothing newer than the directory."""
-        self._liveness.confirm_source(now)
+    def handle_listing(self, listing: SourceListing, is_full_listing: bool, now: float) -> None:
+        """Applies what was read from the source, which confirms the directory.
+
+        An answer from before the last known restore of the source is dropped.
+        """
+        if self.directory_sync.apply_source_changes(listing, is_full_listing, now):
+            self._liveness.confirm_source(now)
 
     def request_stop(self, now: float) -> None:
         """Starts a planned stop; further calls have no effect."""
--- a/berylstair/steering_action.py
+++ b/berylstair/steering_action.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from berylstair.directory import Position
 from berylstair.ids import Endpoint
 from berylstair.record import BackendServer
 from berylstair.segment import Segment
@@ -38,10 +39,10 @@
 
 
 class FetchDirectory(NamedTuple):
-    """Fetches the directory's changes after a revision from another instance."""
+    """Fetches the directory's changes after a position from another instance."""
 
     target: Endpoint
-    after_revision: int
+    after: Position
 
 
 SteeringAction = SendSegment | ResetCaller | SendMessage | FetchDirectory | LogEntry | Stopped
--- a/berylstair/steering_core.py
+++ b/berylstair/steering_core.py
@@ -80,5 +80,5 @@
         """Queues a heartbeat to each target; does nothing without targets."""
         if not targets:
             return
-        message = self.fleet.make_heartbeat(self.directory.revision, now, wants_answer)
+        message = self.fleet.make_heartbeat(self.directory, now, wants_answer)
         self.actions.extend(SendMessage(target, message) for target in targets)
--- a/berylstair/steering_links.py
+++ b/berylstair/steering_links.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from berylstair.directory import Position
 from berylstair.errors import DecodeError
 from berylstair.ids import Endpoint
 from berylstair.steering_message import STEERING_CODEC, DirectoryReply, DirectoryRequest
@@ -49,44 +50,47 @@
     await _start_server(listen, respond, PAGE_TIMEOUT_S)
 
 
-async def serve_directory(listen: Endpoint, changes_after: Callable[[int], DirectoryReply]) -> None:
+async def serve_directory(
+    listen: Endpoint, changes_after: Callable[[Position], DirectoryReply]
+) -> None:
     """Starts a server from which peers fetch the directory.
 
     Each connection carries one request and its reply, as compressed frames.
 
     Args:
         listen: Endpoint to listen on.
-        changes_after: Returns the changes after a revision.
+        changes_after: Returns the changes after a position.
     """
 
     async def handle_request(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request = await _read_message(reader)
         if isinstance(request, DirectoryRequest):
-            await _write_message(writer, changes_after(request.after_revision))
+            after = Position(request.after_era, request.after_revision)
+            await _write_message(writer, changes_after(after))
 
     await _start_server(listen, handle_request, FETCH_TIMEOUT_S)
 
 
-async def fetch_directory(target: Endpoint, after_revision: int) -> DirectoryReply | None:
+async def fetch_directory(target: Endpoint, after: Position) -> DirectoryReply | None:
     """Fetches the directory's changes from a peer.
 
     Args:
         target: The peer.
-        after_revision: Revision up to which the local directory is complete.
+        after: Position up to which the local directory is complete.
 
     Returns:
         The changes, None if they could not be fetched.
     """
     try:
-        return await asyncio.wait_for(_fetch(target, after_revision), FETCH_TIMEOUT_S)
+        return await asyncio.wait_for(_fetch(target, after), FETCH_TIMEOUT_S)
     except (OSError, EOFError, DecodeError, TimeoutError):
         return None
 
 
-async def _fetch(target: Endpoint, after_revision: int) -> DirectoryReply | None:
+async def _fetch(target: Endpoint, after: Position) -> DirectoryReply | None:
     reader, writer = await asyncio.open_connection(*target)
     with closing(writer):
-        await _write_message(writer, DirectoryRequest(after_revision))
+        await _write_message(writer, DirectoryRequest(*after))
         message = await _read_message(reader)
     return message if isinstance(message, DirectoryReply) else None
 
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -8,6 +8,7 @@
 import pykka
 
 from berylstair.catalogue import LogEvent
+from berylstair.directory import START_POSITION
 from berylstair.directory_reader import ReadPlan
 from berylstair.directory_source import SourceListing
 from berylstair.errors import ConfigurationError, ErrorKind
@@ -76,28 +77,29 @@
     def read_plan(self) -> ReadPlan:
         """Returns what the directory reader is to do; called from its thread."""
         core = self._steering.core
-        revision = core.directory.revision
+        position = core.directory.position
         age_s = core.fleet.membership.confirmation_age_s(boot_clock())
         time_limits = self._settings.time_limits
         propagation_limit_s = min(time_limits.drain_s, time_limits.config_apply_s)
         max_age_s = propagation_limit_s * (READ_DELAY_RATIO - self._read_jitter_ratio)
         is_due = (
-            revision == 0 or age_s is None or age_s > max_age_s or core.fleet.is_source_reader()
+            position == START_POSITION
+            or age_s is None
+            or age_s > max_age_s
+            or core.fleet.is_source_reader()
         )
-        return ReadPlan(is_due, revision)
+        return ReadPlan(is_due, position)
 
     def handle_listing(self, listing: SourceListing, is_full_listing: bool) -> None:
         """Applies a listing from the directory reader; called from its thread."""
 
         def apply(now: float) -> None:
-            self._steering.directory_sync.apply_source_changes(
-                listing.revision, listing.changes, now, is_full_listing, listing.era
-            )
-            self._steering.confirm_source(now)
+            self._steering.handle_listing(listing, is_full_listing, now)
             if self._is_source_lost:
                 self._is_source_lost = False
                 self._log.write(
-                    LogEvent.SOURCE_BACK, f'revision={listing.revision} era={listing.era}'
+                    LogEvent.SOURCE_BACK,
+                    f'revision={listing.position.revision} era={listing.position.era}',
                 )
 
         self.post(apply)
@@ -204,7 +206,7 @@
         self._schedule_timer()
         if self._steering.is_ready != self._was_ready:
             self._was_ready = self._steering.is_ready
-            revision = self._steering.core.directory.revision
+            revision = self._steering.core.directory.position.revision
             self._log.write(LogEvent.NOW_READY, f'is_ready={self._was_ready} revision={revision}')
 
     def _schedule_timer(self) -> None:
@@ -222,12 +224,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _fetch_changes(self, action: FetchDirectory) -> None:
-        reply = await fetch_directory(action.target, action.after_revision)
+        reply = await fetch_directory(action.target, action.after)
         if reply is None:
             return
         self._log.write(
             LogEvent.DIRECTORY_PULLED,
-            f'peer={action.target} after={action.after_revision} revision={reply.revision}',
+            f'peer={action.target} after={action.after.revision} after_era={action.after.era} '
+            f'revision={reply.revision} era={reply.era}',
         )
         self._run_work(lambda now: self._steering.directory_sync.apply_fetched_changes(reply, now))
 
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -10,7 +10,7 @@
 
 from berylstair.assigner import PlacementDecision
 from berylstair.codec import MessageCodec
-from berylstair.directory import SourceChange
+from berylstair.directory import Position, SourceChange, WriterVersion
 from berylstair.lease_table import Outcome
 
 __all__ = [
@@ -91,12 +91,22 @@
 
 
 class DirectoryChangeRow(NamedTuple):
-    """A change of the directory as its source wrote it."""
+    """A change of the directory as its source wrote it.
+
+    Attributes:
+        lifetime: Lifetime of the writer's version, see ``WriterVersion``.
+        number: Number of the writer's version in that lifetime.
+        is_ahead: Whether the source lost this content.
+    """
 
     key: str
+    era: int
     revision: int
     is_removed: bool
     value: bytes
+    lifetime: int
+    number: int
+    is_ahead: bool
 
 
 class FleetHeartbeat(NamedTuple):
@@ -104,7 +114,9 @@
 
     Attributes:
         incarnation: Start time of the sender's process in ms since 1970.
-        revision: Revision of the sender's directory.
+        era: Era of the sender's directory.
+        revision: Revision of the sender's directory in that era.
+        configuration_version: Version of the configuration that the sender has in force.
         confirmation_age_ms: Age of the newest confirmation of that revision.
         is_leaving: Whether the sender is in a planned stop.
         placements_per_s: New flows per second that the sender could place.
@@ -116,7 +128,9 @@
     instance: str
     zone: str
     incarnation: int
+    era: int
     revision: int
+    configuration_version: int
     confirmation_age_ms: int
     is_leaving: bool
     placements_per_s: int
@@ -124,6 +138,11 @@
     wants_answer: bool
     members: tuple[MemberRow, ...]
 
+    @property
+    def position(self) -> Position:
+        """Position of the sender's directory."""
+        return Position(self.era, self.revision)
+
 
 class PeerLost(NamedTuple):
     """Declares an instance lost after several unanswered probes.
@@ -162,30 +181,51 @@
 
 
 class DirectoryRequest(NamedTuple):
-    """Asks for the directory's changes after a revision."""
+    """Asks for the directory's changes after a position."""
 
+    after_era: int
     after_revision: int
 
 
 class DirectoryReply(NamedTuple):
-    """Changes of the directory up to a revision."""
+    """Changes of the directory up to a position."""
 
+    era: int
     revision: int
     rows: tuple[DirectoryChangeRow, ...]
 
+    @property
+    def position(self) -> Position:
+        """Position up to which the changes are complete."""
+        return Position(self.era, self.revision)
+
 
 class DirectoryUpdate(NamedTuple):
-    """A few small changes, for peers that hold the directory up to a revision.
+    """A few small changes, for peers that hold the directory up to a position.
 
     Attributes:
+        after_era: Era before the changes.
         after_revision: Revision before the changes.
+        era: Era with them.
         revision: Revision with them.
     """
 
+    after_era: int
     after_revision: int
+    era: int
     revision: int
     rows: tuple[DirectoryChangeRow, ...]
 
+    @property
+    def after(self) -> Position:
+        """Position before the changes."""
+        return Position(self.after_era, self.after_revision)
+
+    @property
+    def position(self) -> Position:
+        """Position with the changes."""
+        return Position(self.era, self.revision)
+
 
 _MESSAGE_TYPES: tuple[type[Any], ...] = (
     FleetHeartbeat,
@@ -213,7 +253,16 @@
 def encode_change_rows(changes: Iterable[SourceChange]) -> tuple[DirectoryChangeRow, ...]:
     """Encodes changes as rows of a message."""
     return tuple(
-        DirectoryChangeRow(change.key, change.revision, change.value is None, change.value or b'')
+        DirectoryChangeRow(
+            change.key,
+            change.position.era,
+            change.position.revision,
+            change.value is None,
+            change.value or b'',
+            change.writer_version.lifetime,
+            change.writer_version.number,
+            change.is_ahead,
+        )
         for change in changes
     )
 
@@ -221,5 +270,12 @@
 def decode_change_rows(rows: Iterable[DirectoryChangeRow]) -> list[SourceChange]:
     """Decodes the changes from rows of a message."""
     return [
-        SourceChange(row.key, row.revision, None if row.is_removed else row.value) for row in rows
+        SourceChange(
+            row.key,
+            Position(row.era, row.revision),
+            None if row.is_removed else row.value,
+            WriterVersion(row.lifetime, row.number),
+            row.is_ahead,
+        )
+        for row in rows
     ]
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -60,11 +60,15 @@
                 'Other instances that are reachable.',
                 len(core.fleet.membership.reachable),
             ),
-            ('directory_revision', 'Directory revision in force.', core.directory.revision),
+            (
+                'directory_revision',
+                'Directory revision in force.',
+                core.directory.position.revision,
+            ),
             (
                 'source_era',
-                'Era of the source at the last read, which rises when it is restored from a copy.',
-                self._steering.directory_sync.source_era or 0,
+                'Era of the source in the directory; rises when the source is restored.',
+                core.directory.position.era,
             ),
             (
                 'is_ready',
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -13,12 +13,14 @@
     Configuration,
     ConfigurationPublished,
     DecodedChange,
+    Position,
     Route,
     ServerListed,
     ServerRegistration,
     ServerRemoved,
     SourceChange,
 )
+from berylstair.directory_source import SourceListing
 from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.record import BackendServer, BackendState
 from berylstair.segment import Segment
@@ -108,7 +110,8 @@
         resets_to_lose: Number of the next resets that do not reach their caller.
         on_flow_ended: Called with each flow that gets an outcome.
         sent_messages: Messages sent between instances, by type name.
-        source_items: Revision and content of each item in the platform's store, by key.
+        source_items: Items in the platform's store, by key.
+        source_position: Position of the platform's store.
     """
 
     def __init__(
@@ -140,8 +143,10 @@
         self.resets_to_lose = 0
         self.on_flow_ended: Callable[[CallerFlow], None] = lambda flow: None
         self.sent_messages: Counter[str] = Counter()
-        self.source_items: dict[str, tuple[int, DecodedChange]] = {}
-        self._revision = 0
+        self.source_items: dict[str, SourceChange] = {}
+        self.source_position = Position(1, 0)
+        self._source_events: list[SourceChange] = []
+        self._change_by_text: dict[bytes, DecodedChange] = {}
         self._wake_at_by_ip: dict[str, float] = {}
         self._zones = [ZoneId(f'zone-{number}') for number in range(zones)]
         self._event_heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -183,7 +188,8 @@
         self.steering_by_ip[ip] = steering
         self._wake_at_by_ip[ip] = math.inf
         self._run_timers(ip, steering)
-        self._load_directory(ip)
+        if self.source_items:
+            self.list_source(ip)
         return ip
 
     def partition_zone(self, number: int) -> None:
@@ -232,11 +238,13 @@
             self.server_by_id[backend] = SimulatedServer(entry, index + 1)
             self.publish(f'servers/{backend}', ServerListed(ServerRegistration(entry, SERVICE)))
 
-    def add_route(self, version: int = 1) -> None:
-        """Publishes a configuration with one route."""
+    def add_route(self, version: int = 1, only_ip: str = '') -> None:
+        """Publishes a configuration with one route, which one instance or all read."""
         route = Route('status', SERVICE_ADDRESS, {SERVICE: 1.0}, True, 4.0, 0.25, 2)
         self.publish(
-            'config', ConfigurationPublished(Configuration(version, {SERVICE_ADDRESS: route}, 15))
+            'config',
+            ConfigurationPublished(Configuration(version, {SERVICE_ADDRESS: route}, 15)),
+            only_ip,
         )
 
     def remove_server(self, backend: BackendId) -> None:
@@ -244,23 +252,48 @@
         self.publish(f'servers/{backend}', ServerRemoved(backend))
 
     def publish(self, key: str, change: DecodedChange, only_ip: str = '') -> None:
-        """Writes a change to the store and delivers it to running instances.
+        """Writes a change to the store, which running instances read.
 
         Args:
             key: Key of the item in the store.
             change: Content of the change.
-            only_ip: Only instance that receives the change; empty for all.
+            only_ip: Only instance that reads the store; empty for all.
         """
-        self._revision += 1
-        self.source_items[key] = (self._revision, change)
-        source_change = SourceChange(key, self._revision, b'text')
-        for ip, steering in self.steering_by_ip.items():
-            if ip not in self.down_ips and only_ip in {'', ip}:
-                steering.directory_sync.apply_source_changes(
-                    source_change.revision, [source_change], self.now
-                )
-                steering.confirm_source(self.now)
-                self._perform_actions(ip, steering)
+        era, revision = self.source_position
+        self.source_position = Position(era, revision + 1)
+        text = repr(change).encode()
+        self._change_by_text[text] = change
+        source_change = SourceChange(key, self.source_position, text)
+        self.source_items[key] = source_change
+        self._source_events.append(source_change)
+        for ip in self.steering_by_ip:
+            if only_ip in {'', ip}:
+                self._watch_source(ip)
+
+    def restore_source(
+        self, items: dict[str, SourceChange], revision: int, reader_ip: str = ''
+    ) -> None:
+        """Restores the store from a copy of its items; the next era begins.
+
+        Args:
+            items: Items of the copy, by key.
+            revision: Revision of the copy.
+            reader_ip: Only instance that reads the restored store; empty for all.
+        """
+        self.source_position = Position(self.source_position.era + 1, revision)
+        self.source_items = {
+            key: item._replace(position=self.source_position._replace(revision=item.position[1]))
+            for key, item in items.items()
+        }
+        self._source_events = []
+        for ip in self.steering_by_ip:
+            if reader_ip in {'', ip}:
+                self.list_source(ip)
+
+    def list_source(self, ip: str) -> None:
+        """Lets an instance list the store."""
+        listing = SourceListing(self.source_position, tuple(self.source_items.values()))
+        self._deliver_listing(ip, listing, is_full_listing=True)
 
     def start_flow(self, zone: int = 0, work_s: float = 0.05) -> CallerFlow:
         """Starts one request, with retransmissions until a server accepts the flow.
@@ -300,21 +333,31 @@
     def _confirm_sources(self) -> None:
         """Confirms periodically to all running instances that their directory is up to date."""
         for ip, steering in self.steering_by_ip.items():
-            if ip not in self.down_ips:
-                steering.confirm_source(self.now)
+            self._deliver_listing(ip, SourceListing(steering.core.directory.position, ()))
         self.schedule(SOURCE_CONFIRMATION_INTERVAL_S, self._confirm_sources)
 
-    def _load_directory(self, ip: str) -> None:
-        steering = self.steering_by_ip[ip]
-        changes = [SourceChange(key, item[0], b'text') for key, item in self.source_items.items()]
-        if changes:
-            steering.directory_sync.apply_source_changes(self._revision, changes, self.now)
-            steering.confirm_source(self.now)
+    def _watch_source(self, ip: str) -> None:
+        """Lets an instance read the changes after its position, as a watch returns them."""
+        position = self.steering_by_ip[ip].core.directory.position
+        if position.era != self.source_position.era:
+            self.list_source(ip)
+            return
+        events = [change for change in self._source_events if change.position > position]
+        self._deliver_listing(ip, SourceListing(self.source_position, tuple(events)))
+
+    def _deliver_listing(
+        self, ip: str, listing: SourceListing, is_full_listing: bool = False
+    ) -> None:
+        if ip not in self.down_ips:
+            steering = self.steering_by_ip[ip]
+            steering.handle_listing(listing, is_full_listing, self.now)
             self._perform_actions(ip, steering)
 
     def _decode_change(self, source: SourceChange) -> DecodedChange | None:
-        published = self.source_items.get(source.key)
-        return published[1] if published else None
+        if source.value is not None:
+            return self._change_by_text.get(source.value)
+        prefix, _, name = source.key.rpartition('/')
+        return ServerRemoved(BackendId(name)) if prefix else None
 
     def _run_timers(self, ip: str, steering: SteeringInstance) -> None:
         if ip in self.down_ips or self.steering_by_ip.get(ip) is not steering:
@@ -338,7 +381,7 @@
             ResetCaller: self._reset_caller,
             SendMessage: self._send_message,
             FetchDirectory: lambda instance_ip, fetch: self.schedule(
-                INTERNAL_DELAY_S, lambda: self._fetch_directory(instance_ip, fetch.target.ip)
+                INTERNAL_DELAY_S, lambda: self._fetch_directory(instance_ip, fetch)
             ),
             LogEntry: lambda instance_ip, entry: self.log_entries.append((instance_ip, entry)),
             Stopped: lambda instance_ip, _stopped: self._record_stopped(instance_ip),
@@ -378,10 +421,11 @@
         steering.handle_message(source, STEERING_CODEC.decode(data), self.now)
         self._perform_actions(target, steering)
 
-    def _fetch_directory(self, ip: str, target: str) -> None:
+    def _fetch_directory(self, ip: str, fetch: FetchDirectory) -> None:
+        target = fetch.target.ip
         if target in self.down_ips or (ip, target) in self.blocked_links:
             return
-        reply = self.steering_by_ip[target].directory_sync.encode_changes_after(0)
+        reply = self.steering_by_ip[target].directory_sync.encode_changes_after(fetch.after)
         self.steering_by_ip[ip].directory_sync.apply_fetched_changes(reply, self.now)
         self._perform_actions(ip, self.steering_by_ip[ip])
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -8,6 +8,7 @@
     ConfigurationPublished,
     DecodedChange,
     Directory,
+    Position,
     Route,
     ServerListed,
     ServerRegistration,
@@ -23,11 +24,13 @@
 ADDRESS = Endpoint('198.18.0.1', 443)
 
 
-def server_listed(name: str, state: BackendState = BackendState.ACTIVE) -> ServerListed:
-    """Returns the change of a server that registers."""
+def server_listed(
+    name: str, state: BackendState = BackendState.ACTIVE, version: tuple[int, int] = (0, 0)
+) -> ServerListed:
+    """Returns the change of a server that registers, with the start time and number given."""
     address = Endpoint('10.1.0.1', 9000)
     server = BackendServer(BackendId(name), ZoneId('z'), address, 3, 2000, 3.0, state)
-    return ServerListed(ServerRegistration(server, SERVICE))
+    return ServerListed(ServerRegistration(server, SERVICE, *version))
 
 
 def configuration_published(version: int) -> ConfigurationPublished:
@@ -45,7 +48,7 @@
     grace_s: float = 0,
 ) -> bool:
     """Applies a change and returns whether it was newer."""
-    return directory.apply(SourceChange(key, revision, b'x'), change, now, grace_s)
+    return directory.apply(SourceChange(key, Position(1, revision), b'x'), change, now, grace_s)
 
 
 class DirectoryTest(TestCase):
@@ -67,6 +70,42 @@
         route = directory.find_route(ADDRESS)
         self.assertThat(route and route.name, Equals('v3'))
 
+    def test_which_content_wins_after_a_restore(self) -> None:
+        # Position, lifetime and number of the held content and of the other one; whether
+        # the other one is adopted.
+        cases = (
+            ((1, 5), (100, 3), (1, 6), (100, 4), True),
+            ((1, 9), (100, 7), (2, 5), (100, 3), False),
+            ((1, 5), (100, 3), (2, 5), (100, 3), True),
+            ((1, 9), (100, 7), (2, 6), (100, 8), True),
+            ((1, 9), (200, 1), (2, 5), (100, 8), False),
+            ((1, 9), (100, 8), (2, 5), (200, 1), True),
+            ((1, 9), (200, 5), (1, 10), (100, 1), True),
+            ((2, 5), (100, 3), (2, 5), (200, 1), True),
+        )
+        for held_position, held_version, position, version, expected in cases:
+            with self.subTest(held=(held_position, held_version), other=(position, version)):
+                directory = Directory()
+                held = server_listed('a', BackendState.LEAVING, held_version)
+                directory.apply(SourceChange('s/a', Position(*held_position), b'x'), held, 0, 0)
+                other = SourceChange('s/a', Position(*position), b'y')
+                is_adopted = directory.apply(other, server_listed('a', version=version), 0, 0)
+                self.assertThat(is_adopted, Equals(expected))
+                self.assertThat(bool(directory.accepting_servers(SERVICE, 0)), Equals(expected))
+                (change,) = directory.changes_after(Position(9, 9)) or [None]
+                self.assertThat(change is not None, Equals(not expected))
+
+    def test_a_removal_after_a_restore_removes_a_lost_content(self) -> None:
+        directory = Directory()
+        held = server_listed('a', version=(100, 50))
+        directory.apply(SourceChange('s/a', Position(1, 16), b'x'), held, 0, 0)
+        removal = SourceChange('s/a', Position(2, 14), None)
+        directory.apply(removal, ServerRemoved(BackendId('a')), 0, 0)
+        self.assertThat(directory.accepting_servers(SERVICE, 0), Equals(()))
+        older = server_listed('a', version=(100, 40))
+        directory.apply(SourceChange('s/a', Position(2, 15), b'y'), older, 0, 0)
+        self.assertThat(directory.accepting_servers(SERVICE, 0), Equals(()))
+
     def test_which_servers_accept_new_flows(self) -> None:
         # State, whether removed, grace period, seconds after removal; whether accepting.
         cases = (
@@ -111,11 +150,11 @@
         directory = Directory()
         apply_change(directory, 's/a', 1, server_listed('a'))
         apply_change(directory, 's/b', 5, server_listed('b'))
-        self.assertThat(directory.keys_absent_from([], 3), Equals(['s/a']))
+        self.assertThat(directory.keys_absent_from([], Position(1, 3)), Equals(['s/a']))
 
     def test_peers_get_what_is_newer(self) -> None:
         directory = Directory()
         apply_change(directory, 's/a', 1, server_listed('a'))
         apply_change(directory, 'config', 4, configuration_published(1))
-        newer = [change.key for change in directory.changes_after(1)]
+        newer = [change.key for change in directory.changes_after(Position(1, 1))]
         self.assertThat(newer, Equals(['config']))
--- a/tests/test_directory_reader.py
+++ b/tests/test_directory_reader.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 from testtools.matchers import AllMatch, Equals, GreaterThan, LessThan, MatchesAll
 
+from berylstair.directory import Position
 from berylstair.directory_reader import (
     RETRY_MAX_DELAY_S,
     DirectoryReader,
@@ -21,7 +22,7 @@
 # Shortest pause that keeps a fleet of hundreds of instances within the rate of the source.
 MIN_PAUSE_S = 0.05
 FAILURE_COUNT = 8
-LISTING = SourceListing(9, ())
+LISTING = SourceListing(Position(1, 9), ())
 
 
 class FailingSource(DirectorySource):
@@ -40,7 +41,7 @@
         """Lists the source."""
         return self._answer('read_all')
 
-    def watch(self, after_revision: int, wait_s: float) -> SourceListing:
+    def watch(self, after: Position, wait_s: float) -> SourceListing:
         """Watches the source."""
         return self._answer('watch')
 
@@ -74,7 +75,7 @@
 
         reader = DirectoryReader.start(
             source,
-            lambda: ReadPlan(not listed.is_set(), 5),
+            lambda: ReadPlan(not listed.is_set(), Position(1, 5)),
             ReadSink(lambda listing, is_full: listed.set(), failures.append),
             Random(1),
             pause,
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -8,6 +8,7 @@
 
 from berylstair.directory import (
     ConfigurationPublished,
+    Position,
     ServerListed,
     ServerRemoved,
     SourceChange,
@@ -16,6 +17,8 @@
 from berylstair.ids import Endpoint
 from berylstair.platform.items import decode_change
 
+POSITION = Position(1, 5)
+
 ENTRY = {
     'service': 'huvo11a',
     'address': '10.128.0.9:8080',
@@ -42,13 +45,13 @@
 
 def decode_server(text: bytes | None) -> Any:
     """Decodes the entry of a server."""
-    return decode_change(SourceChange('servers/i-7f3a91c2', 5, text))
+    return decode_change(SourceChange('servers/i-7f3a91c2', POSITION, text))
 
 
 def decode_configuration(**changed: Any) -> Any:
     """Decodes a configuration with one route."""
     published = {'version': 7, 'routes': [ROUTE | changed], 'limits': {'idle_timeout_ms': 12000}}
-    return decode_change(SourceChange('op/config', 6, json.dumps(published).encode()))
+    return decode_change(SourceChange('op/config', POSITION, json.dumps(published).encode()))
 
 
 class ServerEntryTest(TestCase):
@@ -116,8 +119,8 @@
 
     def test_an_unreadable_configuration(self) -> None:
         for text in (b'', b'{}', b'{"version": 1, "routes": [{}]}'):
-            change = SourceChange('op/config', 6, text)
+            change = SourceChange('op/config', POSITION, text)
             self.assertRaises(DecodeError, decode_change, change)
 
     def test_other_keys_are_ignored(self) -> None:
-        self.assertThat(decode_change(SourceChange('my/leader', 5, b'x')), Equals(None))
+        self.assertThat(decode_change(SourceChange('my/leader', POSITION, b'x')), Equals(None))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from berylstair.directory_source import HistoryLost
+from berylstair.directory import Position
+from berylstair.directory_source import HistoryLost, SourceListing
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
 from berylstair.platform.store import StoreSource
@@ -59,22 +60,22 @@
         first = self.store.put('a', 'x')
         self.store.put('b', 'y')
         last = self.store.remove('a')
-        listing = self.source.watch(first, 0)
-        self.assertThat(listing.revision, Equals(last))
+        listing = self.source.watch(Position(1, first), 0)
+        self.assertThat(listing.position, Equals(Position(1, last)))
         changes = [(change.key, change.value) for change in listing.changes]
         self.assertThat(changes, Equals([('b', b'y'), ('a', None)]))
 
     def test_nothing_changed(self) -> None:
         revision = self.store.put('a', 'x')
-        listing = self.source.watch(revision, 0)
-        self.assertThat((listing.revision, listing.changes), Equals((revision, ())))
+        listing = self.source.watch(Position(1, revision), 0)
+        self.assertThat(listing, Equals(SourceListing(Position(1, revision), ())))
 
     def test_store_failures_raise_source_error(self) -> None:
         self.store.put('a', 'x')
         for fault in (StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT):
             self.store.fault = fault
             self.assertRaises(SourceError, self.source.read_all)
-            self.assertRaises(SourceError, self.source.watch, 1, 0)
+            self.assertRaises(SourceError, self.source.watch, Position(1, 1), 0)
         self.store.fault = StoreFault.NONE
         self.assertThat(len(self.source.read_all().changes), Equals(1))
 
@@ -82,7 +83,37 @@
         self.store.put('a', 'x')
         self.store.put('a', 'y')
         self.store.compact_history()
-        self.assertRaises(HistoryLost, self.source.watch, 1, 0)
+        self.assertRaises(HistoryLost, self.source.watch, Position(1, 1), 0)
+
+    def test_a_watch_from_a_revision_that_was_given_out_again(self) -> None:
+        copy = self.store.make_copy()
+        lost = self.store.put('a', 'x')
+        self.store.restore(copy)
+        for key in 'bcd':
+            self.store.put(key, 'y')
+        self.assertRaises(HistoryLost, self.source.watch, Position(1, lost), 0)
+        listing = self.source.read_all()
+        self.assertThat(listing.position, Equals(Position(2, lost + 2)))
+        self.assertThat([change.key for change in listing.changes], Equals(['b', 'c', 'd']))
+        self.assertThat({change.position.era for change in listing.changes}, Equals({2}))
+
+    def test_a_restore_between_two_pages_of_a_listing(self) -> None:
+        for number in range(PAGE_ITEMS + 1):
+            self.store.put(f'servers/i-{number:03d}', {'n': number})
+        copy = self.store.make_copy()
+        handle_request = self.store.handle_request
+
+        def restore_before_second_page(path: str, query: dict[str, str]) -> Any:
+            if 'after' in query:
+                self.store.restore(copy)
+            return handle_request(path, query)
+
+        with mock.patch.object(self.store, 'handle_request', restore_before_second_page):
+            self.assertRaises(HistoryLost, self.source.read_all)
+
+    def test_an_era_that_is_no_number_raises_source_error(self) -> None:
+        self.store.era = 'x'
+        self.assertRaises(SourceError, self.source.read_all)
 
     def test_broken_answers_raise_source_error(self) -> None:
         self.store.put('a', 'x')
@@ -92,5 +123,5 @@
                 mock.patch.object(self.store, 'handle_request', return_value=(200, answer)),
             ):
                 self.assertRaises(SourceError, self.source.read_all)
-                self.assertRaises(SourceError, self.source.watch, 1, 0)
+                self.assertRaises(SourceError, self.source.watch, Position(1, 1), 0)
         self.assertThat(len(self.source.read_all().changes), Equals(1))
--- a/tests/test_steering_links.py
+++ b/tests/test_steering_links.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from berylstair.directory import START_POSITION
 from berylstair.ids import Endpoint
 from berylstair.steering_links import fetch_directory, serve_directory, serve_page
 from berylstair.steering_message import DirectoryChangeRow, DirectoryReply
@@ -101,7 +102,7 @@
     """Requests that are broken end their own connection only."""
 
     def test_servers_outlive_broken_requests(self) -> None:
-        reply = DirectoryReply(9, ())
+        reply = DirectoryReply(1, 9, ())
         directory_endpoint, page_endpoint = (
             Endpoint('127.0.0.1', port) for port in find_free_ports(2)
         )
@@ -113,7 +114,7 @@
             for junk in JUNK:
                 await exchange(page_endpoint, junk)
             page = await exchange(page_endpoint, b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
-            return answers, await fetch_directory(directory_endpoint, 0), page
+            return answers, await fetch_directory(directory_endpoint, START_POSITION), page
 
         answers, fetched, page = asyncio.run(send_all())
         self.assertThat(set(answers), Equals({b''}))
@@ -130,7 +131,7 @@
                 writer.close()
 
             async with await asyncio.start_server(answer, *endpoint):
-                return await fetch_directory(endpoint, 0)
+                return await fetch_directory(endpoint, START_POSITION)
 
         for junk in JUNK:
             with self.subTest(junk=junk[:20]):
@@ -141,18 +142,20 @@
     """Many peers fetch a large configuration at the same time."""
 
     def test_many_fetch_a_large_configuration_over_one_narrow_link(self) -> None:
-        row = DirectoryChangeRow('op/config', 9, is_removed=False, value=large_configuration())
+        row = DirectoryChangeRow('op/config', 1, 9, False, large_configuration(), 0, 3, False)
         directory_endpoint, relay_endpoint = (
             Endpoint('127.0.0.1', port) for port in find_free_ports(2)
         )
 
         async def fetch_all() -> list[DirectoryReply | None]:
-            await serve_directory(directory_endpoint, lambda _after: DirectoryReply(9, (row,)))
+            await serve_directory(directory_endpoint, lambda _after: DirectoryReply(1, 9, (row,)))
             server = await asyncio.start_server(
                 NarrowLink(directory_endpoint).accept, *relay_endpoint
             )
             async with server:
-                fetches = [fetch_directory(relay_endpoint, 0) for _ in range(FETCH_COUNT)]
+                fetches = [
+                    fetch_directory(relay_endpoint, START_POSITION) for _ in range(FETCH_COUNT)
+                ]
                 return list(await asyncio.gather(*fetches))
 
         replies = asyncio.run(fetch_all())
--- a/tests/test_steering_message.py
+++ b/tests/test_steering_message.py
@@ -36,16 +36,27 @@
 RECEIVER_IP = '10.0.0.1'
 MESSAGES: tuple[Any, ...] = (
     FleetHeartbeat(
-        'entry-2', 'zone-0', 5, 3, 10, False, 900, 2, True, (MemberRow('entry-3', 'z', '10.0.0.3'),)
+        'entry-2',
+        'zone-0',
+        5,
+        1,
+        3,
+        7,
+        10,
+        False,
+        900,
+        2,
+        True,
+        (MemberRow('entry-3', 'z', '10.0.0.3'),),
     ),
     PeerLost('entry-3', 7),
     PlacementRequestBatch((PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, b'abcd'),)),
     PlacementReplyBatch((PlacementReplyRow(FLOW, SERVICE, 1, BACKEND, 0),)),
     ReleaseBatch((ReleaseRow(FLOW, SERVICE, 1),)),
     LeaseReport(SERVICE, (LeaseRow(FLOW, BACKEND, 'status', 20),)),
-    DirectoryRequest(3),
-    DirectoryReply(9, (DirectoryChangeRow('servers/i-0001', 9, is_removed=True, value=b''),)),
-    DirectoryUpdate(3, 9, (DirectoryChangeRow('config', 9, is_removed=False, value=b'{}'),)),
+    DirectoryRequest(1, 3),
+    DirectoryReply(2, 9, (DirectoryChangeRow('servers/i-0001', 2, 9, True, b'', 5, 4, False),)),
+    DirectoryUpdate(1, 3, 2, 9, (DirectoryChangeRow('config', 2, 9, False, b'{}', 0, 7, True),)),
 )
 ODD_VALUES = (
     st.integers(-3, 5)
@@ -111,7 +122,9 @@
             world = self.make_world()
             steering = world.steering_by_ip[RECEIVER_IP]
             member = MemberRow('entry-9', 'zone-0', ip)
-            heartbeat = FleetHeartbeat('entry-2', 'zone-0', 5, 3, 10, False, 9, 9, False, (member,))
+            heartbeat = FleetHeartbeat(
+                'entry-2', 'zone-0', 5, 1, 3, 1, 10, False, 9, 9, False, (member,)
+            )
             steering.handle_message(PEER_IP, heartbeat, world.now)
             with self.subTest(ip=ip):
                 self.assertThat(steering.core.fleet.find_endpoint('entry-9'), Equals(None))
