Keep servers removed whose removal the restored source lost

Callers could be offered to a server that was gone: the source loses the removal in a restore and lists the server's older entry again. An instance that restarts then reads that entry, and the removal that its peer passes on as lost has the same position, so it was not adopted. Offers to the server stayed unanswered until its entry expired again.

Cause: removals were compared by position only. A lost removal has the position of the older content that the source has again; what distinguishes the two is the version of the content that was removed.

Change: removals are compared by position, then by the writer's version.

The check that any version is in force is replaced: it was true of every state.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -433,13 +433,15 @@
     """Returns whether a change is newer than the one held under its key."""
     if change is None:
         return False
-    is_other_lifetime = source_change.writer_version.lifetime != held.writer_version.lifetime
-    is_same_era = source_change.position.era == held.position.era
+    # A removal that the source lost has the position of the older content that is back, but
+    # the version of the newer one that it removed.
     if isinstance(change, ServerRemoved):
-        return source_change.position > held.position
+        return _by_position(source_change) > _by_position(held)
     # A writer whose clock was set back starts a lifetime with a lower number, so within an
     # era the source decides between lifetimes.
-    if is_other_lifetime and is_same_era:
+    is_same_era = source_change.position.era == held.position.era
+    is_other_lifetime = source_change.writer_version.lifetime != held.writer_version.lifetime
+    if is_same_era and is_other_lifetime:
         return _by_position(source_change) > _by_position(held)
     return _by_writer(source_change) > _by_writer(held)
 
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -261,10 +261,14 @@
         """
         era, revision = self.source_position
         self.source_position = Position(era, revision + 1)
-        text = repr(change).encode()
-        self._change_by_text[text] = change
-        source_change = SourceChange(key, self.source_position, text)
-        self.source_items[key] = source_change
+        if isinstance(change, ServerRemoved):
+            source_change = SourceChange(key, self.source_position, None)
+            self.source_items.pop(key, None)
+        else:
+            text = repr(change).encode()
+            self._change_by_text[text] = change
+            source_change = SourceChange(key, self.source_position, text)
+            self.source_items[key] = source_change
         self._source_events.append(source_change)
         for ip in self.steering_by_ip:
             if only_ip in {'', ip}:
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -4,13 +4,19 @@
 from random import Random
 
 from testtools import TestCase
-from testtools.matchers import Equals, Not
+from testtools.matchers import Equals, LessThan, Not
 
 from berylstair.catalogue import LogEvent
-from berylstair.directory import ServerListed, ServerRegistration, SourceChange
+from berylstair.directory import (
+    ServerListed,
+    ServerRegistration,
+    ServerRemoved,
+    SourceChange,
+)
 from berylstair.directory_sync import SOURCE_RECOVERY_GRACE_S
 from berylstair.ids import BackendId
 from berylstair.record import BackendState
+from berylstair.steering import SteeringInstance
 from emulator.simulation import SERVICE, SimulatedWorld
 
 INSTANCES = 4
@@ -54,12 +60,16 @@
     }
 
 
+def find_accepting(world: SimulatedWorld, steering: SteeringInstance) -> frozenset[BackendId]:
+    """Returns the servers that an instance holds as accepting."""
+    servers = steering.core.directory.accepting_servers(SERVICE, world.now)
+    return frozenset(server.id for server in servers)
+
+
 def accepting_everywhere(world: SimulatedWorld) -> set[frozenset[BackendId]]:
     """Returns the sets of accepting servers that running instances hold."""
     return {
-        frozenset(
-            server.id for server in steering.core.directory.accepting_servers(SERVICE, world.now)
-        )
+        find_accepting(world, steering)
         for ip, steering in world.steering_by_ip.items()
         if ip not in world.down_ips
     }
@@ -116,6 +126,19 @@
         world.run(SPREAD_S)
         self.assertThat(accepting_everywhere(world), Equals({frozenset(world.server_by_id)}))
 
+    def test_a_removed_server_that_the_copy_lists_is_not_used_after_a_restart(self) -> None:
+        world = make_world()
+        gone = next(iter(world.server_by_id))
+        copy = copy_source(world)
+        write_server(world, gone, BackendState.LEAVING, sequence=9)
+        world.remove_server(gone)
+        world.restore_source(*copy, reader_ip=READER_IP)
+        world.kill_instance('10.0.0.4')
+        world.start_instance(3)
+        world.run(SPREAD_S)
+        expected = frozenset(world.server_by_id) - {gone}
+        self.assertThat(accepting_everywhere(world), Equals({expected}))
+
     def test_a_server_lost_by_the_restore_is_used_for_the_grace_period_only(self) -> None:
         world = make_world()
         copy = copy_source(world)
@@ -188,10 +211,14 @@
         self.version = 1
         self.sequence = 1
         self.state_by_backend = dict.fromkeys(self.world.server_by_id, BackendState.ACTIVE)
+        self.removed: set[BackendId] = set()
+        self.version_by_instance: dict[SteeringInstance, int] = {}
+        self.left_by_instance: dict[SteeringInstance, set[BackendId]] = {}
         self.copies = [copy_source(self.world)]
         steps = (
             self.write_configuration,
             self.write_server_state,
+            self.remove_server,
             self.make_copy,
             self.restore,
             self.restart_instance,
@@ -200,7 +227,7 @@
         for _ in range(STEPS):
             self.rng.choice(steps)()
             self.world.run(self.rng.random())
-            self.assertThat(versions_in_force(self.world), Not(Equals(set())))
+            self.check_nothing_reverts()
         self.world.blocked_links.clear()
         self.write_again()
         self.world.run(2 * SPREAD_S + SOURCE_RECOVERY_GRACE_S)
@@ -212,6 +239,22 @@
         }
         self.assertThat(accepting_everywhere(self.world), Equals({frozenset(accepting)}))
 
+    def check_nothing_reverts(self) -> None:
+        """Checks that no instance goes back to an older version or to a server that left."""
+        for steering in self.world.steering_by_ip.values():
+            directory = steering.core.directory
+            version = self.version_by_instance.get(steering, 0)
+            self.assertThat(directory.configuration_version, Not(LessThan(version)))
+            self.version_by_instance[steering] = directory.configuration_version
+            accepting = find_accepting(self.world, steering)
+            left = self.left_by_instance.setdefault(steering, set())
+            self.assertThat(left & accepting, Equals(set()))
+            left.update(
+                backend
+                for backend in self.world.server_by_id
+                if directory.find_change(f'servers/{backend}') and backend not in accepting
+            )
+
     def random_ip(self) -> str:
         """Returns the IP address of a random instance."""
         return self.rng.choice(sorted(self.world.steering_by_ip))
@@ -228,6 +271,18 @@
             self.state_by_backend[backend] = BackendState.LEAVING
             self.write_entry(backend)
 
+    def remove_server(self) -> None:
+        """Removes the entry of a server that is leaving."""
+        leaving = [
+            backend
+            for backend, state in self.state_by_backend.items()
+            if state is BackendState.LEAVING and f'servers/{backend}' in self.world.source_items
+        ]
+        if leaving:
+            backend = self.rng.choice(leaving)
+            self.removed.add(backend)
+            self.world.publish(f'servers/{backend}', ServerRemoved(backend), self.random_ip())
+
     def write_entry(self, backend: BackendId) -> None:
         """Lets a server report its state, which one instance reads."""
         self.sequence += 1
@@ -259,7 +314,10 @@
         """Lets the operator and the servers write again what they wrote."""
         self.world.add_route(self.version, only_ip=READER_IP)
         for backend in self.state_by_backend:
-            self.write_entry(backend)
+            if backend in self.removed:
+                self.world.remove_server(backend)
+            else:
+                self.write_entry(backend)
         listing_ip = self.random_ip()
         self.world.list_source(listing_ip)
 
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -352,6 +352,15 @@
         'copy_lists_as_ready or random',
         'tests/test_directory_sync.py',
     ),
+    MutationCase(
+        'platform: restored source',
+        'a lost removal wins over the older content at its position',
+        'directory',
+        'return change.position, change.writer_version',
+        'return change.position, WriterVersion()',
+        'copy_lists_is_not_used_after_a_restart',
+        'tests/test_directory_sync.py',
+    ),
     MutationCase(
         'platform: restored source',
         'contents ahead of the source are passed on',
