Apply a configuration that is written again with other contents

An operator whose change was lost by a restore may write other contents under the same version. Each instance then stored the new contents and passed them on, but kept the old routes in force until its restart, so that instances differed.

Cause: the version was compared twice, when the contents of a key are ordered and once more when a configuration is applied, and only the first comparison uses the position for equal versions.

Change: the second comparison is gone; the order of contents decides.

Evidence: the new test failed before. Found by reading.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -363,9 +363,6 @@
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
-            return
         self.configuration = configuration
         for address, route in configuration.route_by_address.items():
             self.routed_services_by_address.setdefault(address, set()).update(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -95,6 +95,14 @@
                 (change,) = directory.changes_after(Position(9, 9)) or [None]
                 self.assertThat(change is not None, Equals(not expected))
 
+    def test_a_version_written_again_with_other_routes_is_in_force(self) -> None:
+        directory = Directory()
+        apply_change(directory, 'config', 9, configuration_published(2))
+        other = configuration_published(2)
+        other.configuration.route_by_address.clear()
+        directory.apply(SourceChange('config', Position(2, 5), b'y'), other, 0, 0)
+        self.assertThat(directory.find_route(ADDRESS), Equals(None))
+
     def test_a_removal_after_a_restore_removes_a_lost_content(self) -> None:
         directory = Directory()
         held = server_listed('a', version=(100, 50))
