Read all records again after the configuration service was restored

On the product's own path an instance could miss records for good: if the configuration service is restored from a copy while no read is open, the records that it then gets under revisions given out before are not among the changes after the revision that the instance asks for.

Change: the service may state an era in its answers; when it has risen, the watcher reads from the start. Records are ordered by their own version, so reading one again changes nothing. A service without an era is read as before.

--- a/berylstair/source.py
+++ b/berylstair/source.py
@@ -32,10 +32,13 @@
     Attributes:
         revision: Revision of the source after these records.
         texts: Texts of the records changed after the requested revision.
+        era: Rises when the source is restored from a copy and gives out
+            revisions again; 0 if the source does not tell.
     """
 
     revision: int
     texts: tuple[str, ...]
+    era: int = 0
 
 
 class ConfigurationSource(ABC):
@@ -129,7 +132,7 @@
     """Reads the platform's configuration service over HTTP, with long polling.
 
     ``GET URL/records?after=REVISION&wait_s=SECONDS`` returns
-    ``{"revision": N, "records": ["...", ...]}``.
+    ``{"era": N, "revision": N, "records": ["...", ...]}``; ``era`` is optional.
     """
 
     def __init__(self, url: str) -> None:
@@ -145,7 +148,11 @@
                 timeout=wait_s + _TIMEOUT_MARGIN_S,
             ) as response:
                 loaded = json.loads(response.read(_MAX_RESPONSE_BYTES))
-            return SourceRead(int(loaded['revision']), tuple(map(str, loaded['records'])))
+            return SourceRead(
+                int(loaded['revision']),
+                tuple(map(str, loaded['records'])),
+                int(loaded.get('era', 0)),
+            )
         except (URLError, HTTPException, OSError) as error:
             raise SourceError(str(error)) from error
         except (ValueError, KeyError, TypeError) as error:
--- a/berylstair/watcher.py
+++ b/berylstair/watcher.py
@@ -53,6 +53,7 @@
         self._post_event = post_event
         self._is_source_reader = is_source_reader
         self._rng = rng
+        self._era = 0
         self._revision = 0
         self._place = type(source).__name__
 
@@ -71,10 +72,15 @@
             self._post_event(SourceFailed())
             time.sleep(RETRY_DELAY_S * (1 + self._rng.random() * _RETRY_JITTER_RATIO))
             return
+        is_restored = self._revision > 0 and source_read.era != self._era
         is_revision_older = source_read.revision < self._revision
-        self._revision = source_read.revision
+        self._era = source_read.era
+        # The revision that was asked for belongs to another era, so all records are read next.
+        self._revision = 0 if is_restored else source_read.revision
         for text in source_read.texts:
             self._post_event(RecordRead(self._place, text))
+        if is_restored:
+            return
         if not is_revision_older:
             self._post_event(SourceConfirmed())
         if not is_watch and not source_read.texts:
--- a/emulator/configuration_service.py
+++ b/emulator/configuration_service.py
@@ -26,6 +26,7 @@
         self._changed = threading.Condition()
         self._is_unavailable = False
         self._stale_revision: int | None = None
+        self._era = 1
         self._delay_s = 0.0
         ThreadingHTTPServer.daemon_threads = True
         ThreadingHTTPServer.request_queue_size = 256
@@ -39,6 +40,12 @@
             self._changed.notify_all()
             return len(self._record_texts)
 
+    def restore(self, revision: int) -> None:
+        """Loses the records after a revision, as if restored from a copy."""
+        with self._changed:
+            self._era += 1
+            self._record_texts = self._record_texts[:revision]
+
     def set_unavailable(self, is_unavailable: bool) -> None:
         """Answers every read with 503, or serves again."""
         with self._changed:
@@ -67,7 +74,7 @@
             request_target: Path and query; ``after`` and ``wait_s`` default to 0.
 
         Returns:
-            HTTP status, and the JSON content: revision and records after ``after``.
+            HTTP status, and the JSON content: era, revision and records after ``after``.
         """
         self.read_count += 1
         query = parse_qs(urlsplit(request_target).query)
@@ -82,6 +89,7 @@
                 return 503, {}
             last_revision = self._last_revision()
             return 200, {
+                'era': self._era,
                 'revision': last_revision,
                 'records': self._record_texts[after_revision:last_revision],
             }
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -325,6 +325,15 @@
         'signals_before',
         'tests/test_platform_process.py',
     ),
+    MutationCase(
+        'restored source',
+        'all records are read again',
+        'watcher',
+        'self._revision = 0 if is_restored else source_read.revision',
+        'self._revision = source_read.revision',
+        'given_out_before_a_restore',
+        'tests/test_watcher.py',
+    ),
     MutationCase(
         'platform: restored source',
         'a watch checks the era',
