Keep the last server of a service in soak runs

The logs of all instances show that the last server of mapserve was replaced 11 s into the run: all nine servers that are registered in the end serve reports-desk, and each refusal of the 444 route is right.

Cause: the disruption compact_store replaced a random server by one of the first service, and reuse_addresses exchanged the services of two servers also if one of them was leaving already and so stayed as it was.

Change: compact_store keeps the service; services are exchanged only between two servers that are both in use. No check changes.

--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -172,9 +172,10 @@
     store_fault = asyncio.create_task(
         environment.inject_store_fault(StoreFault.WATCH_SILENT, min(for_s, 1))
     )
-    await environment.drain_and_replace_server(
-        environment.rng.randrange(len(environment.server_addresses)), SERVICES[0]
-    )
+    number = environment.rng.randrange(len(environment.server_addresses))
+    server = environment.server_addresses[number].server
+    if server is not None:
+        await environment.drain_and_replace_server(number, server.service)
     environment.store.compact_history()
     await store_fault
 
@@ -201,11 +202,18 @@
 async def _swap_services(environment: SoakEnvironment, _for_s: float) -> None:
     numbers = environment.rng.sample(range(len(environment.server_addresses)), 2)
     servers = [environment.server_addresses[number].server for number in numbers]
-    swapped_services = reversed([server.service if server else SERVICES[0] for server in servers])
-    replacements = zip(numbers, swapped_services, strict=True)
-    await asyncio.gather(
-        *(environment.drain_and_replace_server(number, service) for number, service in replacements)
-    )
+    services = [
+        server.service for server in servers if server is not None and server.leaving_since is None
+    ]
+    # With one of the two gone already, a service could lose its last server.
+    if len(services) == len(numbers):
+        replacements = zip(numbers, reversed(services), strict=True)
+        await asyncio.gather(
+            *(
+                environment.drain_and_replace_server(number, service)
+                for number, service in replacements
+            )
+        )
 
 
 async def _change_routes(environment: SoakEnvironment, for_s: float) -> None:
