Restore the store from a copy in soak runs

Every fourth seed (3, 7, 11, ...) also restores the store: a change of routes is lost, the operator and the servers write again, and the next change gets a revision that was given out before. Its route is then checked at every settled instance. Other seeds play the same disruptions as before.

--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -105,6 +105,11 @@
             self._compacted_revision = self._revision
             self._events = []
 
+    def find_keys(self, prefix: str) -> set[str]:
+        """Returns the keys of the items that begin with a prefix."""
+        with self._changed:
+            return {key for key in self._items if key.startswith(prefix)}
+
     def make_copy(self) -> StoreCopy:
         """Returns a copy of the content, for ``restore``."""
         with self._changed:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -9,12 +9,13 @@
 
 from emulator.faults import Faults
 from emulator.platform_store import StoreFault
-from soak.environment import SERVICES, ZONES, SoakEnvironment
+from soak.environment import PEER_PROPAGATION_LIMIT_S, SERVICES, ZONES, SoakEnvironment
 from soak.fleet import STORE, InstanceProcess
 
-__all__ = ['DISRUPTION_BY_NAME', 'Disruption']
+__all__ = ['DISRUPTION_BY_NAME', 'STORE_RESTORE', 'Disruption']
 
 Disruption = Callable[[SoakEnvironment, float], Awaitable[None]]
+STORE_RESTORE = 'restore_store'
 _LOSSY = Faults(drop_ratio=0.1, duplicate_ratio=0.1, delay_ms=(0.0, 30.0))
 _BLOCKED = Faults(is_blocked=True)
 _RESET = Faults(resets_connections=True)
@@ -180,6 +181,17 @@
     await store_fault
 
 
+async def _restore_store(environment: SoakEnvironment, for_s: float) -> None:
+    """Loses a change of routes; the next one gets a revision that was given out before."""
+    copy = environment.store.make_copy()
+    await asyncio.sleep(for_s)
+    route = environment.add_route(environment.rng.choice(SERVICES))
+    await environment.restore_store(copy, environment.rng.uniform(0, 1))
+    environment.remove_route(route)
+    await asyncio.sleep(PEER_PROPAGATION_LIMIT_S + 1)
+    await environment.check_route(route)
+
+
 async def _crash_servers(environment: SoakEnvironment, for_s: float) -> None:
     numbers = environment.rng.sample(
         range(len(environment.server_addresses)), max(len(environment.server_addresses) // 4, 1)
@@ -249,4 +261,5 @@
     'release': _drain_servers,
     'reuse_addresses': _swap_services,
     'change_routes': _change_routes,
+    STORE_RESTORE: _restore_store,
 }
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -12,7 +12,7 @@
 
 from berylstair.ids import Endpoint
 from emulator.platform_pages import SERVICE_IP, make_configuration, make_route, make_server_entry
-from emulator.platform_store import PlatformStore, StoreFault
+from emulator.platform_store import PlatformStore, StoreCopy, StoreFault
 from emulator.udp import find_free_ports
 from soak.callers import Caller, CallerFlow
 from soak.clock import RunClock
@@ -91,6 +91,7 @@
         self._server_numbers = count(1)
         self._configuration_versions = count(1)
         self._entry_sequence_numbers = count(1)
+        self._configuration: dict[str, Any] = {}
         self._route_ports = count(443)
 
     async def __aenter__(self) -> Self:
@@ -372,13 +373,35 @@
         await asyncio.sleep(for_s)
         self.store.fault = StoreFault.NONE
 
+    async def restore_store(self, copy: StoreCopy, down_s: float) -> None:
+        """Makes the store go back to a copy; operator and servers write again.
+
+        Args:
+            copy: Content that the store has afterwards.
+            down_s: Seconds for which the store is down before.
+        """
+        await self.inject_store_fault(StoreFault.RESET, down_s)
+        self.store.restore(copy)
+        self.store.put('op/config', self._configuration)
+        self._start_task(self._expire_entries())
+
+    async def _expire_entries(self) -> None:
+        """Removes the entries of ended servers that a restore has brought back."""
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        registered = {
+            f'servers/{address.server.name}' for address in self.server_addresses if address.server
+        }
+        for key in self.store.find_keys('servers/') - registered:
+            self.store.remove(key)
+
     def _publish_configuration(self) -> None:
         routes = [
             make_route(f'route-{route.port}', route.service, route.port)
             for route in self.routes
             if route.removed_at is None
         ]
-        self.store.put('op/config', make_configuration(next(self._configuration_versions), routes))
+        self._configuration = make_configuration(next(self._configuration_versions), routes)
+        self.store.put('op/config', self._configuration)
 
     def _start_task(self, work: Any) -> None:
         task = asyncio.create_task(work)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from soak.callers import Caller, CallerFlow
-from soak.disruptions import DISRUPTION_BY_NAME
+from soak.disruptions import DISRUPTION_BY_NAME, STORE_RESTORE
 from soak.environment import SERVICES, SoakEnvironment
 from soak.fleet import InstanceProcess
 from soak.observations import Finding, Promise, RequestOutcome
@@ -26,6 +26,10 @@
 # Numbers of disruption kinds in a run, besides one change of servers or routes. With
 # many kinds, hardly any instance settles, and time limits apply only to settled ones.
 DISRUPTION_COUNTS = (1, 2, 3, 5)
+# The store is restored from a copy with the seeds 3, 7, 11 and so on. Among the sampled
+# kinds it would change the disruptions of the regression seeds.
+RESTORE_SEED_STEP = 4
+SAMPLED_DISRUPTIONS = tuple(sorted(set(DISRUPTION_BY_NAME) - {STORE_RESTORE}))
 DIRECTORY_CHANGES = ('change_routes', 'release', 'reuse_addresses')
 _DISRUPTION_GAP_RANGE_S = (0.2, 2.5)
 _DISRUPTION_DURATION_RANGE_S = (0.5, 5.0)
@@ -73,7 +77,8 @@
             asyncio.create_task(_run_long_flow(environment)) for _ in range(LONG_FLOW_COUNT)
         )
         await asyncio.sleep(FAULT_FREE_START_S)
-        disruptions = await _inject_disruptions(environment, rng, size.fault_injection_s)
+        names = _choose_disruptions(seed, rng)
+        disruptions = await _inject_disruptions(environment, rng, names, size.fault_injection_s)
         environment.links.clear_faults()
         await _wait_for_recovery(environment)
         for task in load_tasks:
@@ -93,15 +98,24 @@
         return RunResult(seed, environment.observations.findings, outcome_counts, disruptions, logs)
 
 
-async def _inject_disruptions(environment: SoakEnvironment, rng: Random, for_s: float) -> list[str]:
+def _choose_disruptions(seed: int, rng: Random) -> list[str]:
+    """Returns the names of the kinds of disruption of a run."""
+    names = [
+        rng.choice(DIRECTORY_CHANGES),
+        *rng.sample(SAMPLED_DISRUPTIONS, rng.choice(DISRUPTION_COUNTS)),
+    ]
+    if seed % RESTORE_SEED_STEP == RESTORE_SEED_STEP - 1:
+        names.append(STORE_RESTORE)
+    return names
+
+
+async def _inject_disruptions(
+    environment: SoakEnvironment, rng: Random, names: list[str], for_s: float
+) -> list[str]:
     """Starts overlapping disruptions and waits until all have ended."""
     started: list[str] = []
     tasks: list[asyncio.Task[None]] = []
     until = environment.clock.now() + for_s
-    names = [
-        rng.choice(DIRECTORY_CHANGES),
-        *rng.sample(sorted(DISRUPTION_BY_NAME), rng.choice(DISRUPTION_COUNTS)),
-    ]
     while environment.clock.now() < until:
         name = rng.choice(names)
         duration_s = rng.uniform(*_DISRUPTION_DURATION_RANGE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,12 @@
         FAULT_INJECTION_S,
         'SIGTERM before its handler was installed ended the program with status -15',
     ),
+    (
+        7,
+        6,
+        FAULT_INJECTION_S,
+        'a version under a revision that was given out before a restore was not in force',
+    ),
 )
 
 
