Log the era wherever a revision of the directory is logged

A revision alone no longer tells which changes a decision was based on: after a restore the same number stands for others. The lines of a flow (E406, E408) and of readiness (E110) name the era as well; all lines write a position alike.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -40,6 +40,10 @@
     era: int
     revision: int
 
+    def __str__(self) -> str:
+        """Returns the position as fields of a log line."""
+        return f'revision={self.revision} era={self.era}'
+
 
 START_POSITION = Position(0, 0)
 
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -169,8 +169,8 @@
         core.counters.record_traffic(Traffic.SOURCE_RESTORES)
         core.log(
             LogEvent.SOURCE_RESTORED,
-            f'era={position.era} previous_era={previous.era} revision={position.revision} '
-            f'held_revision={previous.revision} lost={len(lost_keys)}',
+            f'{position} held_revision={previous.revision} held_era={previous.era} '
+            f'lost={len(lost_keys)}',
         )
 
     def _propagate_changes(self, previous: Position, fanout: int, now: float) -> None:
@@ -203,17 +203,15 @@
             return
         held = core.directory.find_change(source_change.key)
         grace_s = max(self._source_recovered_at + SOURCE_RECOVERY_GRACE_S - now, 0)
-        position = source_change.position
         if core.directory.apply(source_change, change, now, grace_s):
             core.log(
                 LogEvent.RECORD_ADOPTED,
-                f'key={source_change.key} revision={position.revision} era={position.era} '
-                f'kind={type(change).__name__}',
+                f'key={source_change.key} {source_change.position} kind={type(change).__name__}',
             )
         elif held is not None:
             core.counters.record_traffic(Traffic.CHANGES_IGNORED)
             core.log(
                 LogEvent.CHANGE_IGNORED,
-                f'key={source_change.key} revision={position.revision} era={position.era} '
+                f'key={source_change.key} {source_change.position} '
                 f'held_revision={held.position.revision} held_era={held.position.era}',
             )
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -97,10 +97,7 @@
             self._steering.handle_listing(listing, is_full_listing, now)
             if self._is_source_lost:
                 self._is_source_lost = False
-                self._log.write(
-                    LogEvent.SOURCE_BACK,
-                    f'revision={listing.position.revision} era={listing.position.era}',
-                )
+                self._log.write(LogEvent.SOURCE_BACK, str(listing.position))
 
         self.post(apply)
 
@@ -206,8 +203,8 @@
         self._schedule_timer()
         if self._steering.is_ready != self._was_ready:
             self._was_ready = self._steering.is_ready
-            revision = self._steering.core.directory.position.revision
-            self._log.write(LogEvent.NOW_READY, f'is_ready={self._was_ready} revision={revision}')
+            position = self._steering.core.directory.position
+            self._log.write(LogEvent.NOW_READY, f'is_ready={self._was_ready} {position}')
 
     def _schedule_timer(self) -> None:
         wake_at = self._steering.wake_at
