List a restored store at once, and watch on from that listing

A change confirmed soon after a restore could be read up to 3 s late.

Cause: a watch from a position of the earlier era waited for its whole second before the era of its answer was seen, and the pause after a failure followed although the store answers. Then the next watch began before the loop had applied the listing, so at the earlier era once more.

Change: an answer of a later era is SourceRestored, whatever its status; the reader lists the source right away, without a pause and without a source_lost line. A watch begins at the last answer if that is of a later era than the directory. An answer of an earlier era is a failure, so that it cannot cause listings without a pause.

--- a/berylstair/directory_reader.py
+++ b/berylstair/directory_reader.py
@@ -2,13 +2,19 @@
 
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Any, NamedTuple
 
 import pykka
 
 from berylstair.directory import START_POSITION, Position
-from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
+from berylstair.directory_source import (
+    DirectorySource,
+    HistoryLost,
+    SourceListing,
+    SourceRestored,
+)
 from berylstair.errors import SourceError
 
 __all__ = ['DirectoryReader', 'ReadDirectory', 'ReadPlan']
@@ -81,6 +87,7 @@
         self._sink = sink
         self._rng = rng
         self._pause = pause
+        self._position = START_POSITION
         self._needs_listing = False
         self._failure_count = 0
 
@@ -109,15 +116,26 @@
         return delay_s * (0.5 + self._rng.random() / 2)
 
     def _read(self, position: Position) -> None:
-        is_full_listing = self._needs_listing or position == START_POSITION
-        if is_full_listing:
-            listing = self._source.read_all()
-        else:
-            listing = self._source.watch(position, WATCH_TIMEOUT_S)
+        listing, is_full_listing = self._read_source(position)
         self._needs_listing = False
         self._failure_count = 0
+        self._position = listing.position
         self._sink.handle_listing(listing, is_full_listing)
 
+    def _read_source(self, position: Position) -> tuple[SourceListing, bool]:
+        """Returns an answer of the source, and whether it holds all items."""
+        if not self._needs_listing and position != START_POSITION:
+            with suppress(SourceRestored):
+                return self._source.watch(self._choose_start(position), WATCH_TIMEOUT_S), False
+        return self._source.read_all(), True
+
+    def _choose_start(self, position: Position) -> Position:
+        """Returns where a watch begins: at the last answer if that is of a later era.
+
+        The answer may not have been applied to the directory yet.
+        """
+        return self._position if self._position.era > position.era else position
+
 
 def _describe_failure(error: Exception) -> str:
     return str(error) if isinstance(error, SourceError) else repr(error)
--- a/berylstair/directory_source.py
+++ b/berylstair/directory_source.py
@@ -6,7 +6,7 @@
 from berylstair.directory import Position, SourceChange
 from berylstair.errors import SourceError
 
-__all__ = ['DirectorySource', 'HistoryLost', 'SourceListing']
+__all__ = ['DirectorySource', 'HistoryLost', 'SourceListing', 'SourceRestored']
 
 
 class SourceListing(NamedTuple):
@@ -25,6 +25,10 @@
     """The source no longer has the changes after the given position."""
 
 
+class SourceRestored(HistoryLost):
+    """The source was restored from a copy since the given position, or between two pages."""
+
+
 class DirectorySource(ABC):
     """Read-only source that can be listed and watched."""
 
@@ -33,6 +37,7 @@
         """Reads all items.
 
         Raises:
+            SourceRestored: The source was restored meanwhile.
             SourceError: The source cannot be read now.
         """
 
@@ -41,6 +46,7 @@
         """Waits for changes after a position.
 
         Raises:
+            SourceRestored: The position is of an earlier era.
             HistoryLost: The source no longer has the changes; a listing is needed first.
             SourceError: The source cannot be read now.
         """
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -8,7 +8,12 @@
 from urllib.parse import urlencode
 
 from berylstair.directory import Position, SourceChange
-from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
+from berylstair.directory_source import (
+    DirectorySource,
+    HistoryLost,
+    SourceListing,
+    SourceRestored,
+)
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
 
@@ -70,7 +75,7 @@
             have to be read again.
 
         Raises:
-            HistoryLost: The store was restored between two pages.
+            SourceRestored: The store was restored between two pages.
             SourceError: The store cannot be read now.
         """
         listed_items: list[SourceChange] = []
@@ -79,10 +84,9 @@
         has_more = True
         while has_more:
             query = {'prefix': '', 'after': after_key} if after_key else {'prefix': ''}
-            page = self._query('/berylstair/kv-range', query, ANSWER_TIMEOUT_S, _decode_page)
+            era = position.era if position else None
+            page = self._query('/berylstair/kv-range', query, ANSWER_TIMEOUT_S, era, _decode_page)
             position = position or page.position
-            if page.position.era != position.era:
-                raise HistoryLost(f'restored while it was listed: era {page.position.era}')
             listed_items.extend(page.changes)
             has_more = page.has_more and bool(page.changes)
             after_key = listed_items[-1].key if listed_items else ''
@@ -99,16 +103,14 @@
             The changes; empty if nothing changed.
 
         Raises:
+            SourceRestored: The position is of an earlier era.
             HistoryLost: The store no longer has all changes after the position.
             SourceError: The store cannot be read now.
         """
         query = {'prefix': '', 'after': after.revision, 'wait_ms': int(wait_s * _MS_PER_S)}
         answer = self._query(
-            '/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S, _decode_events
+            '/berylstair/kv-watch', query, wait_s + ANSWER_TIMEOUT_S, after.era, _decode_events
         )
-        # The store accepts a revision of an earlier era once it has given it out again.
-        if answer.position.era != after.era:
-            raise HistoryLost(f'restored: era {answer.position.era}, {after.era} before')
         newest = max((event.position for event in answer.changes), default=after)
         return SourceListing(max(answer.position, newest), answer.changes)
 
@@ -123,16 +125,18 @@
         path: str,
         query: dict[str, Any],
         timeout_s: float,
+        era: int | None,
         decode: Callable[[_Answer], _Page],
     ) -> _Page:
         """Calls the store and decodes its answer.
 
         Raises:
+            SourceRestored: The answer is of a later era than the one given.
             HistoryLost: The store no longer has the changes that were asked for.
             SourceError: The store did not answer, or not in its own format.
         """
         try:
-            return decode(self._get_answer(f'{path}?{urlencode(query)}', timeout_s))
+            return decode(self._get_answer(f'{path}?{urlencode(query)}', timeout_s, era))
         except (OSError, HTTPException) as error:
             self.close()
             raise SourceError(f'{type(error).__name__}: {error}') from error
@@ -140,11 +144,17 @@
             self.close()
             raise SourceError(f'answer cannot be decoded: {error!r}') from error
 
-    def _get_answer(self, target: str, timeout_s: float) -> _Answer:
+    def _get_answer(self, target: str, timeout_s: float, known_era: int | None) -> _Answer:
         connection = self._open_connection(timeout_s)
         connection.request('GET', target)
         response = connection.getresponse()
         body = response.read()
+        era = int(response.headers.get(_ERA_HEADER, 0))
+        # The store accepts a revision of an earlier era once it has given it out again.
+        if known_era is not None and era > known_era:
+            raise SourceRestored(f'restored: era {era}, {known_era} before')
+        if known_era is not None and era < known_era:
+            raise SourceError(f'answer of era {era}, expected {known_era}')
         if response.status == _HTTP_GONE:
             raise HistoryLost(
                 'HTTP status 410: the store no longer has the changes after the revision'
@@ -154,7 +164,7 @@
         loaded = json.loads(body)
         if not isinstance(loaded, dict):
             raise TypeError('not a JSON object')
-        return _Answer(int(response.headers.get(_ERA_HEADER, 0)), loaded)
+        return _Answer(era, loaded)
 
     def _open_connection(self, timeout_s: float) -> HTTPConnection:
         connection = self._connection
--- a/tests/test_directory_reader.py
+++ b/tests/test_directory_reader.py
@@ -16,13 +16,19 @@
     ReadPlan,
     ReadSink,
 )
-from berylstair.directory_source import DirectorySource, HistoryLost, SourceListing
+from berylstair.directory_source import (
+    DirectorySource,
+    HistoryLost,
+    SourceListing,
+    SourceRestored,
+)
 from berylstair.errors import SourceError
 
 # Shortest pause that keeps a fleet of hundreds of instances within the rate of the source.
 MIN_PAUSE_S = 0.05
 FAILURE_COUNT = 8
-LISTING = SourceListing(Position(1, 9), ())
+DIRECTORY_POSITION = Position(1, 5)
+LISTING = SourceListing(Position(2, 4), ())
 
 
 class FailingSource(DirectorySource):
@@ -30,12 +36,14 @@
 
     Attributes:
         calls: Names of the calls so far.
+        watches: Position and waiting time of each watch so far.
     """
 
     def __init__(self, errors: Iterator[Exception | None]) -> None:
         """Prepares the results of the calls."""
         self._errors = errors
         self.calls: list[str] = []
+        self.watches: list[tuple[Position, float]] = []
 
     def read_all(self) -> SourceListing:
         """Lists the source."""
@@ -43,6 +51,7 @@
 
     def watch(self, after: Position, wait_s: float) -> SourceListing:
         """Watches the source."""
+        self.watches.append((after, wait_s))
         return self._answer('watch')
 
     def close(self) -> None:
@@ -59,14 +68,25 @@
 class DirectoryReaderTest(TestCase):
     """Every kind of failure is reported, and followed by a bounded pause and another read."""
 
-    def read_until_listed(self, *errors: Exception) -> tuple[FailingSource, list[float], list[str]]:
-        """Runs a reader until the first listing; returns the source, pauses and failures."""
+    def read_until_listed(
+        self, *errors: Exception | None, answers: int = 1
+    ) -> tuple[FailingSource, list[float], list[str]]:
+        """Runs a reader until it has a number of answers.
+
+        Returns:
+            The source, the pauses and the failures.
+        """
         source = FailingSource(chain(errors, repeat(None)))
+        answers_left = iter(range(answers - 1, -1, -1))
         pauses_s: list[float] = []
         failures: list[str] = []
         listed = Event()
         stopped = Event()
 
+        def count_answer(_listing: SourceListing, _is_full_listing: bool) -> None:
+            if next(answers_left) == 0:
+                listed.set()
+
         def pause(seconds: float) -> None:
             if listed.is_set():
                 stopped.wait()
@@ -75,8 +95,8 @@
 
         reader = DirectoryReader.start(
             source,
-            lambda: ReadPlan(not listed.is_set(), Position(1, 5)),
-            ReadSink(lambda listing, is_full: listed.set(), failures.append),
+            lambda: ReadPlan(not listed.is_set(), DIRECTORY_POSITION),
+            ReadSink(count_answer, failures.append),
             Random(1),
             pause,
         )
@@ -104,3 +124,14 @@
     def test_a_lost_history_is_followed_by_listings_until_one_succeeds(self) -> None:
         source, _, _ = self.read_until_listed(HistoryLost('gone'), SourceError('down'))
         self.assertThat(source.calls, Equals(['watch', 'read_all', 'read_all']))
+
+    def test_a_restored_source_is_listed_at_once(self) -> None:
+        source, pauses_s, failures = self.read_until_listed(SourceRestored('era 2'))
+        self.assertThat(source.calls, Equals(['watch', 'read_all']))
+        self.assertThat((pauses_s, failures), Equals(([], [])))
+
+    def test_a_watch_begins_at_a_listing_of_a_new_era_that_is_not_applied_yet(self) -> None:
+        source, _, _ = self.read_until_listed(SourceRestored('era 2'), answers=2)
+        self.assertThat(source.calls, Equals(['watch', 'read_all', 'watch']))
+        positions = [position for position, _ in source.watches]
+        self.assertThat(positions, Equals([DIRECTORY_POSITION, LISTING.position]))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals
 
 from berylstair.directory import Position
-from berylstair.directory_source import HistoryLost, SourceListing
+from berylstair.directory_source import HistoryLost, SourceListing, SourceRestored
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
 from berylstair.platform.store import StoreSource
@@ -91,12 +91,23 @@
         self.store.restore(copy)
         for key in 'bcd':
             self.store.put(key, 'y')
-        self.assertRaises(HistoryLost, self.source.watch, Position(1, lost), 0)
+        self.assertRaises(SourceRestored, self.source.watch, Position(1, lost), 0)
         listing = self.source.read_all()
         self.assertThat(listing.position, Equals(Position(2, lost + 2)))
         self.assertThat([change.key for change in listing.changes], Equals(['b', 'c', 'd']))
         self.assertThat({change.position.era for change in listing.changes}, Equals({2}))
 
+    def test_a_watch_from_a_revision_that_the_restored_store_does_not_have(self) -> None:
+        copy = self.store.make_copy()
+        lost = self.store.put('a', 'x')
+        self.store.restore(copy)
+        self.assertRaises(SourceRestored, self.source.watch, Position(1, lost), 0)
+
+    def test_an_answer_of_an_earlier_era_raises_source_error(self) -> None:
+        revision = self.store.put('a', 'x')
+        error = self.assertRaises(SourceError, self.source.watch, Position(2, revision), 0)
+        self.assertThat(isinstance(error, HistoryLost), Equals(False))
+
     def test_a_restore_between_two_pages_of_a_listing(self) -> None:
         for number in range(PAGE_ITEMS + 1):
             self.store.put(f'servers/i-{number:03d}', {'n': number})
@@ -109,7 +120,7 @@
             return handle_request(path, query)
 
         with mock.patch.object(self.store, 'handle_request', restore_before_second_page):
-            self.assertRaises(HistoryLost, self.source.read_all)
+            self.assertRaises(SourceRestored, self.source.read_all)
 
     def test_an_era_that_is_no_number_raises_source_error(self) -> None:
         self.store.era = 'x'
