Answer first and wait later once the store is back

After the store was away, an instance noticed its return only when the first watch ended: a second later, with the store idle. Until then nobody confirmed the directory and, after a restore, nobody knew.

Cause: the first watch after a failure waited for a change like any other.

Change: it does not wait; the next one does.

Evidence: the new test failed before (1.0 s instead of 0).

--- a/berylstair/directory_reader.py
+++ b/berylstair/directory_reader.py
@@ -125,8 +125,10 @@
     def _read_source(self, position: Position) -> tuple[SourceListing, bool]:
         """Returns an answer of the source, and whether it holds all items."""
         if not self._needs_listing and position != START_POSITION:
+            # After a failure the answer is needed at once: it ends the outage for all.
+            wait_s = 0 if self._failure_count else WATCH_TIMEOUT_S
             with suppress(SourceRestored):
-                return self._source.watch(self._choose_start(position), WATCH_TIMEOUT_S), False
+                return self._source.watch(self._choose_start(position), wait_s), False
         return self._source.read_all(), True
 
     def _choose_start(self, position: Position) -> Position:
--- a/tests/test_directory_reader.py
+++ b/tests/test_directory_reader.py
@@ -11,6 +11,7 @@
 from berylstair.directory import Position
 from berylstair.directory_reader import (
     RETRY_MAX_DELAY_S,
+    WATCH_TIMEOUT_S,
     DirectoryReader,
     ReadDirectory,
     ReadPlan,
@@ -125,6 +126,11 @@
         source, _, _ = self.read_until_listed(HistoryLost('gone'), SourceError('down'))
         self.assertThat(source.calls, Equals(['watch', 'read_all', 'read_all']))
 
+    def test_the_first_watch_after_a_failure_is_answered_at_once(self) -> None:
+        source, _, _ = self.read_until_listed(SourceError('down'), answers=2)
+        waits_s = [wait_s for _, wait_s in source.watches]
+        self.assertThat(waits_s, Equals([WATCH_TIMEOUT_S, 0, WATCH_TIMEOUT_S]))
+
     def test_a_restored_source_is_listed_at_once(self) -> None:
         source, pauses_s, failures = self.read_until_listed(SourceRestored('era 2'))
         self.assertThat(source.calls, Equals(['watch', 'read_all']))
