Let the source order a server's entries within an era

Since contents are ordered by the writer's version, an entry that a server wrote later in the same era but with a lower number, or none, was ignored, and a content that the source had lost could undo a removal that the source made after the restore. The first concerns entries of other writers, whose fields may be missing; the second lets a server that is gone get flows until its entry expires again.

Cause: the version of the writer decided also where the source's own order is known.

Change: within an era positions decide. Versions decide between eras, and within one for contents of the same lifetime if the source lost or removed one of them. A content never wins over a removal at a later position. How contents are compared is a table by type of change.

Found by reading.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -1,9 +1,10 @@
 """Routes and backend servers in force, ordered by their source and by their writers."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from types import NoneType
+from typing import Any, NamedTuple
 
 from berylstair.ids import BackendId, Endpoint, ServiceName
 from berylstair.record import BackendServer
@@ -181,9 +182,10 @@
     """Holds the newest content of each key and never reverts to an older one.
 
     Changes may arrive from the source and from peers, in any order, and the
-    source may go back to older contents. Of two contents of a key the one with
-    the higher version of its writer wins; a removal wins over all contents at
-    lower positions.
+    source may go back to older contents. Where the source orders two contents of
+    a server's entry, the later position wins, else the higher version of the
+    writer. Of two configurations the higher version wins. A removal wins over
+    all contents at lower positions.
 
     Attributes:
         position: Position of the source up to which every change was applied.
@@ -246,7 +248,7 @@
         versioned = source_change._replace(
             writer_version=_find_writer_version(source_change, change, held)
         )
-        if held is not None and not _is_newer(versioned, change, held):
+        if held is not None and not _IS_NEWER_BY_TYPE[type(change)](versioned, held):
             if versioned.position > held.position:
                 self._change_by_key[held.key] = held._replace(
                     position=versioned.position, is_ahead=True
@@ -428,28 +430,44 @@
     return max(known, source_change.writer_version)
 
 
-def _is_newer(
-    source_change: SourceChange, change: DecodedChange | None, held: SourceChange
-) -> bool:
-    """Returns whether a change is newer than the one held under its key."""
-    if change is None:
-        return False
-    # A removal that the source lost has the position of the older content that is back, but
-    # the version of the newer one that it removed.
-    if isinstance(change, ServerRemoved):
-        return _by_position(source_change) > _by_position(held)
-    # A writer whose clock was set back starts a lifetime with a lower number, so within an
-    # era the source decides between lifetimes.
-    is_same_era = source_change.position.era == held.position.era
-    is_other_lifetime = source_change.writer_version.lifetime != held.writer_version.lifetime
-    if is_same_era and is_other_lifetime:
-        return _by_position(source_change) > _by_position(held)
-    return _by_writer(source_change) > _by_writer(held)
+def _is_never_newer(_change: SourceChange, _held: SourceChange) -> bool:
+    return False
+
+
+def _is_later(change: SourceChange, held: SourceChange) -> bool:
+    """Compares positions.
+
+    A removal that the source lost has the position of the older content that is
+    back, but the version of the newer content that it removed.
+    """
+    return (change.position, change.writer_version) > (held.position, held.writer_version)
+
 
+def _has_higher_version(change: SourceChange, held: SourceChange) -> bool:
+    return (change.writer_version, change.position) > (held.writer_version, held.position)
 
-def _by_position(change: SourceChange) -> tuple[Position, WriterVersion]:
-    return change.position, change.writer_version
 
+def _is_newer_registration(change: SourceChange, held: SourceChange) -> bool:
+    """Compares positions where the source orders both contents, else their versions.
 
-def _by_writer(change: SourceChange) -> tuple[WriterVersion, Position]:
-    return change.writer_version, change.position
+    A server whose clock was set back starts a lifetime with a lower number, so
+    within an era the source decides between lifetimes.
+    """
+    is_removed = held.value is None
+    if is_removed and change.position < held.position:
+        return False
+    is_same_era = change.position.era == held.position.era
+    is_same_lifetime = change.writer_version.lifetime == held.writer_version.lifetime
+    # The source may write contents again that are older than the one it lost.
+    is_one_lost = change.is_ahead or held.is_ahead or is_removed
+    if is_same_era and not (is_same_lifetime and is_one_lost):
+        return _is_later(change, held)
+    return _has_higher_version(change, held)
+
+
+_IS_NEWER_BY_TYPE: Mapping[type[Any], Callable[[SourceChange, SourceChange], bool]] = {
+    NoneType: _is_never_newer,
+    ServerRemoved: _is_later,
+    ServerListed: _is_newer_registration,
+    ConfigurationPublished: _has_higher_version,
+}
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -82,6 +82,7 @@
             ((1, 9), (100, 8), (2, 5), (200, 1), True),
             ((1, 9), (200, 5), (1, 10), (100, 1), True),
             ((2, 5), (100, 3), (2, 5), (200, 1), True),
+            ((1, 5), (100, 3), (1, 6), (100, 1), True),
         )
         for held_position, held_version, position, version, expected in cases:
             with self.subTest(held=(held_position, held_version), other=(position, version)):
@@ -95,6 +96,25 @@
                 (change,) = directory.changes_after(Position(9, 9)) or [None]
                 self.assertThat(change is not None, Equals(not expected))
 
+    def test_contents_written_again_in_their_order_after_a_restore(self) -> None:
+        directory = Directory()
+        steps = (((1, 9), 9, True), ((2, 5), 3, False), ((2, 6), 6, False), ((2, 7), 10, True))
+        for position, number, expected in steps:
+            change = server_listed('a', version=(100, number))
+            source_change = SourceChange('s/a', Position(*position), bytes([number]))
+            is_adopted = directory.apply(source_change, change, 0, 0)
+            self.assertThat((position, is_adopted), Equals((position, expected)))
+
+    def test_a_content_that_the_source_lost_does_not_undo_a_later_removal(self) -> None:
+        directory = Directory()
+        held = server_listed('a', version=(100, 7))
+        directory.apply(SourceChange('s/a', Position(2, 14), b'x'), held, 0, 0)
+        removal = SourceChange('s/a', Position(2, 20), None)
+        directory.apply(removal, ServerRemoved(BackendId('a')), 0, 0)
+        lost = SourceChange('s/a', Position(2, 14), b'y', is_ahead=True)
+        directory.apply(lost, server_listed('a', version=(100, 9)), 0, 0)
+        self.assertThat(directory.accepting_servers(SERVICE, 0), Equals(()))
+
     def test_a_version_written_again_with_other_routes_is_in_force(self) -> None:
         directory = Directory()
         apply_change(directory, 'config', 9, configuration_published(2))
