--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -286,7 +286,7 @@
         """
         self.source_position = Position(self.source_position.era + 1, revision)
         self.source_items = {
-            key: item._replace(position=self.source_position._replace(revision=item.position[1]))
+            key: item._replace(position=item.position._replace(era=self.source_position.era))
             for key, item in items.items()
         }
         self._source_events = []
