Say how old the directory is, which entries are left out and which fetches fail

A refusal showed the revision in force, not when and by whom it was last confirmed; an entry that names no usable server and a fetch that failed left no line at all. E406 and E408 carry confirmed_ms and confirmed_by; E211, E212, E213 and E214 are new, with a gauge and a refusal kind. fetch_directory raises the reason in place of returning None; its test now expects the error for the same broken replies.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -134,9 +134,14 @@
 
 
 class ServerRemoved(NamedTuple):
-    """A server's entry was removed, or describes no usable server."""
+    """A server's entry was removed, or describes no usable server.
+
+    Attributes:
+        fault: Why the entry describes no usable server; empty if it was removed.
+    """
 
     backend: BackendId
+    fault: str = ''
 
 
 class ConfigurationPublished(NamedTuple):
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -4,7 +4,13 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Traffic
-from berylstair.directory import START_POSITION, DecodedChange, Position, SourceChange
+from berylstair.directory import (
+    START_POSITION,
+    DecodedChange,
+    Position,
+    ServerRemoved,
+    SourceChange,
+)
 from berylstair.directory_source import SourceListing
 from berylstair.errors import DecodeError, ErrorKind
 from berylstair.ids import Endpoint, InstanceId
@@ -204,6 +210,12 @@
         held = core.directory.find_change(source_change.key)
         grace_s = max(self._source_recovered_at + SOURCE_RECOVERY_GRACE_S - now, 0)
         if core.directory.apply(source_change, change, now, grace_s):
+            if isinstance(change, ServerRemoved) and change.fault:
+                core.counters.record_refusal(ErrorKind.RECORD_INVALID)
+                core.log(
+                    LogEvent.ENTRY_REFUSED,
+                    f'key={source_change.key} {source_change.position} fault="{change.fault}"',
+                )
             core.log(
                 LogEvent.RECORD_ADOPTED,
                 f'key={source_change.key} {source_change.position} kind={type(change).__name__}',
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -266,7 +266,7 @@
         core.log(
             LogEvent.FLOW_PLACED,
             f'{describe_flow(flow, now)} backend={server.id} zone={server.zone} {detail} '
-            f'{core.directory.position}',
+            f'{core.describe_directory(now)}',
         )
 
     def _handle_offer_timeout(self, flow: TrackedFlow, offered_at: float, now: float) -> None:
@@ -300,7 +300,8 @@
         core.counters.record_refusal(kind)
         core.log(
             LogEvent.FLOW_REFUSED,
-            f'{describe_flow(flow, now)} reason={kind.value} {detail} {core.directory.position}',
+            f'{describe_flow(flow, now)} reason={kind.value} {detail} '
+            f'{core.describe_directory(now)}',
         )
         if flow.offer_count == 0 and not flow.excluded:
             self._reset_caller(flow)
--- a/berylstair/membership.py
+++ b/berylstair/membership.py
@@ -58,6 +58,7 @@
         self.eligible_changed_at = 0.0
         self.eligible: tuple[InstanceId, ...] = (own_id,)
         self.reachable: frozenset[InstanceId] = frozenset()
+        self.confirmed_by: InstanceId = own_id
         self._confirmed_at: float | None = None
         self._requests_by_backend: dict[tuple[str, str], int] = {}
 
@@ -104,7 +105,7 @@
         peer.is_leaving = heartbeat.is_leaving
         self._apply_load(peer, heartbeat.load)
         peer.deputy_for = heartbeat.deputy_for
-        self.record_confirmation(now - heartbeat.confirmation_age_ms / 1000)
+        self.record_confirmation(now - heartbeat.confirmation_age_ms / 1000, sender)
         if is_restarted or not is_unchanged:
             self.update_liveness(now, force=is_restarted)
         return is_restarted
@@ -172,10 +173,18 @@
         """Whether a majority of the listed instances, including this one, is reachable."""
         return (len(self.reachable) + 1) * 2 > len(self.peer_by_id) + 1
 
-    def record_confirmation(self, confirmed_at: float) -> None:
-        """Records when the source confirmed that the data in force is current."""
+    def record_confirmation(
+        self, confirmed_at: float, confirmed_by: InstanceId | None = None
+    ) -> None:
+        """Records when the source confirmed that the data in force is current.
+
+        Args:
+            confirmed_at: Time of the confirmation in seconds.
+            confirmed_by: Peer that passed it on; None if the source was read here.
+        """
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
+            self.confirmed_by = confirmed_by or self.own_id
 
     def confirmation_age_s(self, now: float) -> float | None:
         """Returns the time in seconds since the last confirmation, None before the first."""
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -21,6 +21,8 @@
 
 SERVER_PREFIX = 'servers/'
 CONFIGURATION_KEY = 'op/config'
+# The fault of an entry quotes it, and entries may be long.
+MAX_FAULT_CHARS = 120
 _MS_PER_S = 1000
 _DEFAULT_MAX_CONNECTIONS = 2000
 _STATE_BY_NAME = {'ready': BackendState.ACTIVE, 'draining': BackendState.LEAVING}
@@ -59,8 +61,8 @@
         return ServerRemoved(backend)
     try:
         return ServerListed(_decode_registration(backend, json.loads(value)))
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return ServerRemoved(backend)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return ServerRemoved(backend, repr(error)[:MAX_FAULT_CHARS])
 
 
 def _decode_registration(backend: BackendId, entry: dict[str, Any]) -> ServerRegistration:
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -79,6 +79,7 @@
         self._flow_opener = FlowOpener(self.core)
         self._stop_requested_at: float | None = None
         self._last_segment_at = now
+        self._is_directory_stale = False
         self._placement = PlacementProtocol(self.core, self._flow_opener)
         self.directory_sync = DirectorySync(self.core, decode_change)
         self._liveness = LivenessProtocol(self.core, self._placement, self.directory_sync)
@@ -91,6 +92,7 @@
         for period_s, task in (
             (FLEET_HEARTBEAT_INTERVAL_S, self._liveness.send_periodic_heartbeat),
             (PROBE_INTERVAL_S, self._liveness.probe_peers),
+            (FLEET_HEARTBEAT_INTERVAL_S, self._check_directory_age),
             (REPORT_INTERVAL_S, self._prune_and_report),
         ):
             self._schedule_periodic(period_s, task, now)
@@ -294,6 +296,15 @@
             core.log(LogEvent.LOAD_COUNTED, line)
         self._placement.send_lease_reports(now)
 
+    def _check_directory_age(self, now: float) -> None:
+        """Logs when the directory is older than changes may take, and when it no longer is."""
+        age_s = self.core.fleet.membership.confirmation_age_s(now)
+        is_stale = age_s is not None and age_s > self.core.settings.time_limits.propagation_s
+        if is_stale != self._is_directory_stale:
+            self._is_directory_stale = is_stale
+            event = LogEvent.DIRECTORY_STALE if is_stale else LogEvent.DIRECTORY_CONFIRMED
+            self.core.log(event, self.core.describe_directory(now))
+
     def _check_stop(self, now: float) -> None:
         started_at = self._stop_requested_at
         if started_at is None:
--- a/berylstair/steering_core.py
+++ b/berylstair/steering_core.py
@@ -20,6 +20,8 @@
 
 __all__ = ['SteeringCore']
 
+MS_PER_S = 1000
+
 
 class SteeringCore:
     """Holds the directory, fleet, flows, counters, timers and pending actions."""
@@ -55,6 +57,14 @@
         """Queues a log entry."""
         self.actions.append(LogEntry(event, detail))
 
+    def describe_directory(self, now: float) -> str:
+        """Returns the directory's position and its last confirmation as fields of a log line."""
+        membership = self.fleet.membership
+        age_s = membership.confirmation_age_s(now)
+        age_ms = 'none' if age_s is None else round(age_s * MS_PER_S)
+        confirmed_by = membership.confirmed_by
+        return f'{self.directory.position} confirmed_ms={age_ms} confirmed_by={confirmed_by}'
+
     def add_row(self, batch_type: type[Any], peer: InstanceId, row: Any) -> None:
         """Adds a row to the batch that the next flush sends to a peer."""
         self._rows_by_batch_and_peer[batch_type, peer].append(row)
--- a/berylstair/steering_links.py
+++ b/berylstair/steering_links.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from berylstair.directory import Position
-from berylstair.errors import DecodeError
+from berylstair.errors import DecodeError, SourceError
 from berylstair.ids import Endpoint
 from berylstair.steering_message import STEERING_CODEC, DirectoryReply, DirectoryRequest
 
@@ -79,20 +79,25 @@
         after: Position up to which the local directory is complete.
 
     Returns:
-        The changes, None if they could not be fetched.
+        The changes.
+
+    Raises:
+        SourceError: They could not be fetched.
     """
     try:
         return await asyncio.wait_for(_fetch(target, after), FETCH_TIMEOUT_S)
-    except (OSError, EOFError, DecodeError, TimeoutError):
-        return None
+    except (OSError, EOFError, DecodeError, TimeoutError) as error:
+        raise SourceError(f'{type(error).__name__}: {error}') from error
 
 
-async def _fetch(target: Endpoint, after: Position) -> DirectoryReply | None:
+async def _fetch(target: Endpoint, after: Position) -> DirectoryReply:
     reader, writer = await asyncio.open_connection(*target)
     with closing(writer):
         await _write_message(writer, DirectoryRequest(*after))
         message = await _read_message(reader)
-    return message if isinstance(message, DirectoryReply) else None
+    if not isinstance(message, DirectoryReply):
+        raise DecodeError(f'{type(message).__name__} in place of a directory')
+    return message
 
 
 async def _start_server(listen: Endpoint, handle: _Handler, timeout_s: float) -> None:
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -11,7 +11,7 @@
 from berylstair.directory import START_POSITION
 from berylstair.directory_reader import ReadPlan
 from berylstair.directory_source import SourceListing
-from berylstair.errors import ConfigurationError, ErrorKind
+from berylstair.errors import ConfigurationError, ErrorKind, SourceError
 from berylstair.linelog import LineLog
 from berylstair.membership import PAUSE_THRESHOLD_S
 from berylstair.serving import Serve, boot_clock
@@ -79,9 +79,8 @@
         core = self._steering.core
         position = core.directory.position
         age_s = core.fleet.membership.confirmation_age_s(boot_clock())
-        time_limits = self._settings.time_limits
-        propagation_limit_s = min(time_limits.drain_s, time_limits.config_apply_s)
-        max_age_s = propagation_limit_s * (READ_DELAY_RATIO - self._read_jitter_ratio)
+        propagation_s = self._settings.time_limits.propagation_s
+        max_age_s = propagation_s * (READ_DELAY_RATIO - self._read_jitter_ratio)
         is_due = (
             position == START_POSITION
             or age_s is None
@@ -221,8 +220,11 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _fetch_changes(self, action: FetchDirectory) -> None:
-        reply = await fetch_directory(action.target, action.after)
-        if reply is None:
+        try:
+            reply = await fetch_directory(action.target, action.after)
+        except SourceError as error:
+            self._steering.core.counters.record_refusal(ErrorKind.FETCH_FAILED)
+            self._log.write(LogEvent.FETCH_FAILED, f'peer={action.target} fault="{error}"')
             return
         self._log.write(
             LogEvent.DIRECTORY_PULLED,
@@ -240,7 +242,7 @@
         # Importing the metrics library takes long, and a starting process is needed at once.
         from berylstair.steering_metrics import render_steering_metrics
 
-        return HTTPStatus.OK, render_steering_metrics(self._steering)
+        return HTTPStatus.OK, render_steering_metrics(self._steering, boot_clock())
 
 
 class SteeringActor(pykka.ThreadingActor):
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of a steering instance."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -17,8 +18,9 @@
 class _SteeringCollector(Collector):
     """Converts the counters and gauges of the core into metric families."""
 
-    def __init__(self, steering: SteeringInstance) -> None:
+    def __init__(self, steering: SteeringInstance, now: float) -> None:
         self._steering = steering
+        self._now = now
 
     def collect(self) -> Iterable[Metric]:
         """Yields every family; each known label value is present from the start."""
@@ -47,7 +49,13 @@
 
     def _gauges(self) -> Iterable[Metric]:
         core = self._steering.core
+        confirmation_age_s = core.fleet.membership.confirmation_age_s(self._now)
         values = (
+            (
+                'directory_confirmation_age_seconds',
+                'Time since the source last confirmed the directory; NaN before the first time.',
+                math.nan if confirmation_age_s is None else confirmation_age_s,
+            ),
             ('tracked_flows', 'Flows tracked.', len(core.flows)),
             (
                 'waiting_flows',
@@ -84,8 +92,8 @@
     return {kind.value: count for kind, count in counts.items()}
 
 
-def render_steering_metrics(steering: SteeringInstance) -> str:
-    """Renders the metrics in the Prometheus text format."""
+def render_steering_metrics(steering: SteeringInstance, now: float) -> str:
+    """Renders the metrics at a time in seconds in the Prometheus text format."""
     registry = CollectorRegistry()
-    registry.register(_SteeringCollector(steering))
+    registry.register(_SteeringCollector(steering, now))
     return generate_latest(registry).decode()
--- a/berylstair/steering_settings.py
+++ b/berylstair/steering_settings.py
@@ -51,6 +51,11 @@
     max_flow_s: float
     entry_expiry_s: float
 
+    @property
+    def propagation_s(self) -> float:
+        """Time within which any change of the directory must be in force."""
+        return min(self.drain_s, self.config_apply_s)
+
 
 @dataclass(frozen=True, slots=True)
 class SteeringSettings:
--- a/tests/test_steering_links.py
+++ b/tests/test_steering_links.py
@@ -10,6 +10,7 @@
 from testtools.matchers import Equals
 
 from berylstair.directory import START_POSITION
+from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
 from berylstair.steering_links import fetch_directory, serve_directory, serve_page
 from berylstair.steering_message import DirectoryChangeRow, DirectoryReply
@@ -107,7 +108,7 @@
             Endpoint('127.0.0.1', port) for port in find_free_ports(2)
         )
 
-        async def send_all() -> tuple[list[bytes], DirectoryReply | None, bytes]:
+        async def send_all() -> tuple[list[bytes], DirectoryReply, bytes]:
             await serve_directory(directory_endpoint, lambda _after: reply)
             await serve_page(page_endpoint, lambda: (HTTPStatus.OK, 'ready'))
             answers = [await exchange(directory_endpoint, junk) for junk in JUNK]
@@ -122,10 +123,10 @@
         self.assertThat(page.split(b'\r\n')[0], Equals(b'HTTP/1.1 200 OK'))
         self.assertThat(page.endswith(b'\r\n\r\nready'), Equals(True))
 
-    def test_broken_replies_give_none(self) -> None:
+    def test_broken_replies_are_reported(self) -> None:
         (endpoint,) = (Endpoint('127.0.0.1', port) for port in find_free_ports(1))
 
-        async def fetch_from(junk: bytes) -> DirectoryReply | None:
+        async def fetch_from(junk: bytes) -> DirectoryReply:
             async def answer(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 writer.write(junk)
                 writer.close()
@@ -135,7 +136,7 @@
 
         for junk in JUNK:
             with self.subTest(junk=junk[:20]):
-                self.assertThat(asyncio.run(fetch_from(junk)), Equals(None))
+                self.assertRaises(SourceError, asyncio.run, fetch_from(junk))
 
 
 class FetchTest(TestCase):
@@ -147,7 +148,7 @@
             Endpoint('127.0.0.1', port) for port in find_free_ports(2)
         )
 
-        async def fetch_all() -> list[DirectoryReply | None]:
+        async def fetch_all() -> list[DirectoryReply]:
             await serve_directory(directory_endpoint, lambda _after: DirectoryReply(1, 9, (row,)))
             server = await asyncio.start_server(
                 NarrowLink(directory_endpoint).accept, *relay_endpoint
@@ -159,4 +160,4 @@
                 return list(await asyncio.gather(*fetches))
 
         replies = asyncio.run(fetch_all())
-        self.assertThat({reply.revision if reply else None for reply in replies}, Equals({9}))
+        self.assertThat({reply.revision for reply in replies}, Equals({9}))
