--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -58,9 +58,9 @@
     return [flow for flow in world.flow_by_key.values() if flow.started_at >= start]
 
 
-def read_metric(steering: SteeringInstance, name: str) -> float:
+def read_metric(steering: SteeringInstance, name: str, now: float) -> float:
     """Returns a sample from the metrics page of an instance."""
-    lines = render_steering_metrics(steering).splitlines()
+    lines = render_steering_metrics(steering, now).splitlines()
     return next(float(line.split()[1]) for line in lines if line.startswith(f'berylstair_{name} '))
 
 
@@ -135,7 +135,9 @@
         steering.handle_segment(data._replace(acknowledged=1501), world.now + 0.06)
         for histogram in ('handshake', 'work'):
             with self.subTest(histogram=histogram):
-                self.assertThat(read_metric(steering, f'{histogram}_seconds_sum'), LessThan(1))
+                self.assertThat(
+                    read_metric(steering, f'{histogram}_seconds_sum', world.now), LessThan(1)
+                )
         server_ids = [action.server.id for action in steering.take_actions() if is_offer(action)]
         self.assertThat(set(server_ids), Equals({next(iter(world.server_by_id))}))
 
