Let one entry that cannot be decoded stop nothing else

Cause: decode_change caught a list of exceptions that RecursionError and OverflowError are not in; the exception ended the whole answer before the directory advanced, and the next watch got the same answer again, without pause. Now whatever decoding raises means 'no usable server', a fault in applying one change is logged with its key and the others are applied, and an answer of the store that raises these is a failure with the usual pause.

--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -42,6 +42,8 @@
 FETCH_FANOUT_PEERS = 4
 # Larger changes do not fit into one datagram on a usual link.
 MAX_UPDATE_BYTES = 1000
+# A fault may quote what caused it.
+MAX_FAULT_CHARS = 200
 
 ChangeDecoder = Callable[[SourceChange], DecodedChange | None]
 
@@ -153,7 +155,7 @@
         if is_restored or (age_s is not None and age_s > expiry_s):
             self._source_recovered_at = now
         for change in changes:
-            self._apply_change(change, now)
+            self._apply_change_guarded(change, now)
         if is_restored:
             self._finish_restore(previous, position, now)
         directory.advance(position)
@@ -171,7 +173,7 @@
         core = self._core
         lost_keys = core.directory.keys_before_era(position.era)
         for key in lost_keys:
-            self._apply_change(SourceChange(key, position, None), now)
+            self._apply_change_guarded(SourceChange(key, position, None), now)
         core.counters.record_traffic(Traffic.SOURCE_RESTORES)
         core.log(
             LogEvent.SOURCE_RESTORED,
@@ -197,6 +199,15 @@
         message = DirectoryUpdate(*previous, *reply.position, reply.rows)
         core.actions.extend(SendMessage(target, message) for target in targets)
 
+    def _apply_change_guarded(self, source_change: SourceChange, now: float) -> None:
+        """Applies one change; a fault in it must not keep the others from being applied."""
+        try:
+            self._apply_change(source_change, now)
+        except Exception as error:  # noqa: BLE001 the other changes are in force all the same
+            self._core.counters.record_refusal(ErrorKind.INTERNAL_FAULT)
+            detail = ascii(error)[:MAX_FAULT_CHARS]
+            self._core.log(LogEvent.INTERNAL_FAULT, f'key={source_change.key!a} {detail}')
+
     def _apply_change(self, source_change: SourceChange, now: float) -> None:
         core = self._core
         if core.directory.confirm_unchanged(source_change):
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -49,9 +49,10 @@
     if source_change.key == CONFIGURATION_KEY and source_change.value is not None:
         try:
             return ConfigurationPublished(_decode_configuration(json.loads(source_change.value)))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except Exception as error:
             raise DecodeError(
-                f'configuration at {source_change.position} cannot be decoded: {error!r}'
+                f'configuration at {source_change.position} cannot be decoded: '
+                f'{_describe_fault(error)}'
             ) from error
     return None
 
@@ -61,8 +62,12 @@
         return ServerRemoved(backend)
     try:
         return ServerListed(_decode_registration(backend, json.loads(value)))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return ServerRemoved(backend, repr(error)[:MAX_FAULT_CHARS])
+    except Exception as error:  # noqa: BLE001 any bytes may stand there
+        return ServerRemoved(backend, _describe_fault(error))
+
+
+def _describe_fault(error: Exception) -> str:
+    return ascii(error)[:MAX_FAULT_CHARS]
 
 
 def _decode_registration(backend: BackendId, entry: dict[str, Any]) -> ServerRegistration:
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -26,6 +26,15 @@
 _MS_PER_S = 1000
 # The store answers within milliseconds; more than half a second means a fault.
 ANSWER_TIMEOUT_S = 0.6
+# What reading bytes that may be anything can raise.
+_DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 
 
 class _Answer(NamedTuple):
@@ -140,7 +149,7 @@
         except (OSError, HTTPException) as error:
             self.close()
             raise SourceError(f'{type(error).__name__}: {error}') from error
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _DECODING_ERRORS as error:
             self.close()
             raise SourceError(f'answer cannot be decoded: {error!r}') from error
 
