Keep numbers out of the directory that instances cannot send each other

Cause: the entry's number became the writer's version in the row that instances send each other, and the receiver's codec refuses integers of over 64 bits, and with them the whole message, on every fetch. Numbers of an entry now have ranges: one out of its range makes the entry one of no usable server, whose version is not taken.

--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -25,6 +25,11 @@
 MAX_FAULT_CHARS = 120
 _MS_PER_S = 1000
 _DEFAULT_MAX_CONNECTIONS = 2000
+# Messages between instances carry integers of 64 bits with a sign.
+MAX_NUMBER = (1 << 63) - 1
+# More than any machine runs concurrently, and few enough to be added up.
+_MAX_SLOTS = 1 << 16
+_MAX_WARMUP_MS = 24 * 3600 * _MS_PER_S
 _STATE_BY_NAME = {'ready': BackendState.ACTIVE, 'draining': BackendState.LEAVING}
 _IDEMPOTENT_TYPES = frozenset(('safe', 'download'))
 
@@ -71,9 +76,7 @@
 
 
 def _decode_registration(backend: BackendId, entry: dict[str, Any]) -> ServerRegistration:
-    slots = _require_int(entry['slots'])
-    if slots < 1:
-        raise ValueError(f'{slots} slots, expected at least 1')
+    slots = _require_int(entry['slots'], 1, _MAX_SLOTS)
     server = BackendServer(
         id=backend,
         zone=ZoneId(_require_name(entry['zone'])),
@@ -83,7 +86,7 @@
         weight=float(slots),
         state=_STATE_BY_NAME[_require_name(entry['state'])],
     )
-    warmup_left_ms = _require_int(entry.get('cold_left_ms', 0))
+    warmup_left_ms = _require_int(entry.get('cold_left_ms', 0), 0, _MAX_WARMUP_MS)
     # Entries of older servers lack 'born'.
     started_at_ms = _require_int(entry.get('born', 0))
     service = ServiceName(_require_name(entry['service']))
@@ -117,9 +120,11 @@
     )
 
 
-def _require_int(value: Any) -> int:
+def _require_int(value: Any, least: int = 0, most: int = MAX_NUMBER) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f'{value!r} is not an integer')
+        raise TypeError(f'{type(value).__name__} in place of an integer')
+    if not least <= value <= most:
+        raise ValueError(f'integer not from {least} to {most}')
     return value
 
 
