Take no server from an incomplete entry, nor one that any server would answer for

Cause: an entry that lacks version, cold_left_ms, seq and born was completed with defaults, and an id without a hexadecimal digit became the number 0, which any server accepts. An entry now has to be complete, with texts that can stand in messages and logs, the address of a single IPv4 host and an id with a number of its own. A key that is not printable is ignored.

--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -1,6 +1,7 @@
 """Decodes the items of the platform's store."""
 
 import json
+from ipaddress import IPv4Address
 from typing import Any
 
 from berylstair.directory import (
@@ -15,6 +16,7 @@
 )
 from berylstair.errors import DecodeError
 from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId, parse_endpoint
+from berylstair.platform.packet import backend_number
 from berylstair.record import BackendServer, BackendState
 
 __all__ = ['decode_change']
@@ -30,6 +32,8 @@
 # More than any machine runs concurrently, and few enough to be added up.
 _MAX_SLOTS = 1 << 16
 _MAX_WARMUP_MS = 24 * 3600 * _MS_PER_S
+# As long as the longest key of the store.
+_MAX_NAME_CHARS = 200
 _STATE_BY_NAME = {'ready': BackendState.ACTIVE, 'draining': BackendState.LEAVING}
 _IDEMPOTENT_TYPES = frozenset(('safe', 'download'))
 
@@ -47,6 +51,9 @@
     Raises:
         DecodeError: The configuration cannot be decoded.
     """
+    if not source_change.key.isprintable():
+        # It cannot stand in messages and log lines, and no server has such an id.
+        return None
     if source_change.key.startswith(SERVER_PREFIX):
         return _decode_server(
             BackendId(source_change.key[len(SERVER_PREFIX) :]), source_change.value
@@ -76,22 +83,31 @@
 
 
 def _decode_registration(backend: BackendId, entry: dict[str, Any]) -> ServerRegistration:
+    """Decodes an entry.
+
+    Every field must be there, also those that are not used: an entry that lacks
+    one is not of a server, and its address may be that of another service.
+    """
+    if not backend_number(backend):
+        raise ValueError('the id has no number, so any server would accept its packets')
+    _require_name(entry['version'])
     slots = _require_int(entry['slots'], 1, _MAX_SLOTS)
     server = BackendServer(
         id=backend,
         zone=ZoneId(_require_name(entry['zone'])),
-        address=parse_endpoint(_require_name(entry['address'])),
+        address=_require_address(entry['address']),
         slots=slots,
         connections=_DEFAULT_MAX_CONNECTIONS,
         weight=float(slots),
         state=_STATE_BY_NAME[_require_name(entry['state'])],
     )
-    warmup_left_ms = _require_int(entry.get('cold_left_ms', 0), 0, _MAX_WARMUP_MS)
-    # Entries of older servers lack 'born'.
-    started_at_ms = _require_int(entry.get('born', 0))
-    service = ServiceName(_require_name(entry['service']))
-    sequence = _require_int(entry.get('seq', 0))
-    return ServerRegistration(server, service, started_at_ms, sequence, warmup_left_ms / _MS_PER_S)
+    return ServerRegistration(
+        server,
+        ServiceName(_require_name(entry['service'])),
+        _require_int(entry['born'], 1),
+        _require_int(entry['seq'], 0),
+        _require_int(entry['cold_left_ms'], 0, _MAX_WARMUP_MS) / _MS_PER_S,
+    )
 
 
 def _decode_configuration(published: dict[str, Any]) -> Configuration:
@@ -129,6 +145,18 @@
 
 
 def _require_name(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a non-empty string')
+    """Returns a text that can stand in messages and log lines."""
+    if not isinstance(value, str):
+        raise TypeError(f'{type(value).__name__} in place of a string')
+    if not 0 < len(value) <= _MAX_NAME_CHARS or not value.isprintable():
+        raise ValueError(f'string of {len(value)} characters is empty, too long or not printable')
     return value
+
+
+def _require_address(value: Any) -> Endpoint:
+    """Returns the address of a single host that packets can be sent to."""
+    endpoint = parse_endpoint(_require_name(value))
+    address = IPv4Address(endpoint.ip)
+    if address.is_unspecified or address.is_multicast or address.is_reserved:
+        raise ValueError(f'{endpoint.ip} is not the address of a host')
+    return endpoint
--- a/berylstair/platform/packet.py
+++ b/berylstair/platform/packet.py
@@ -8,7 +8,7 @@
 from berylstair.ids import BackendId, FlowKey
 from berylstair.segment import SEQUENCE_SPACE, Segment
 
-__all__ = ['decode_segment', 'encapsulate', 'encode_reset']
+__all__ = ['backend_number', 'decode_segment', 'encapsulate', 'encode_reset']
 
 # Fields: len, flags, pad, dst, dport, src, sport, sum, seq, ack, echo. The platform
 # writes addresses and ports as little-endian integers.
@@ -96,7 +96,7 @@
     if segment.tag != tag:
         echo = _ECHO.pack(tag)
         data = data[:_ECHO_OFFSET] + echo + data[_ECHO_OFFSET + len(echo) :]
-    return _BACKEND_ID.pack(_backend_number(backend)) + data
+    return _BACKEND_ID.pack(backend_number(backend)) + data
 
 
 def encode_reset(segment: Segment, sequence: int) -> bytes:
@@ -124,6 +124,7 @@
     )
 
 
-def _backend_number(backend: BackendId) -> int:
+def backend_number(backend: BackendId) -> int:
+    """Returns the number that addresses a backend server; 0 addresses any."""
     digits = ''.join(digit for digit in backend if digit in hexdigits)
     return int(digits or '0', _HEX_BASE) % (1 << 64)
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -84,7 +84,7 @@
             self.assertThat(
                 decode_server(json.dumps(ENTRY | change).encode()), IsInstance(ServerRemoved)
             )
-        for name in ('service', 'address', 'zone', 'slots', 'state'):
+        for name in ENTRY:
             partial = {key: ENTRY[key] for key in ENTRY if key != name}
             self.assertThat(decode_server(json.dumps(partial).encode()), IsInstance(ServerRemoved))
         for text in (b'', b'\xff\x00', b'[]', b'7', b'"x"', None):
