Keep the bytes of unusable entries out of memory and out of the exchange

Found by the table of odd entries: an entry of 700 kB that names no usable server was held, and passed on to every peer; a few dozen of them make a reply larger than a peer accepts, which then gets no change from anyone, and some hundred more than a machine's memory. The directory keeps the removal only, and the store's client drops the value of any item but the configuration above 16 kB. Numbers and addresses of routes are checked as those of servers are, so that a refused configuration leaves the one in force.

--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -218,6 +218,9 @@
             core.counters.record_refusal(ErrorKind.RECORD_INVALID)
             core.log(LogEvent.RECORD_REFUSED, f'key={source_change.key} {error}')
             return
+        if isinstance(change, ServerRemoved):
+            # An entry that describes no usable server may be large, and peers need not have it.
+            source_change = source_change._replace(value=None)
         held = core.directory.find_change(source_change.key)
         grace_s = max(self._source_recovered_at + SOURCE_RECOVERY_GRACE_S - now, 0)
         if core.directory.apply(source_change, change, now, grace_s):
@@ -231,7 +234,7 @@
                 LogEvent.RECORD_ADOPTED,
                 f'key={source_change.key} {source_change.position} kind={type(change).__name__}',
             )
-        elif held is not None:
+        elif held is not None and held.position != source_change.position:
             core.counters.record_traffic(Traffic.CHANGES_IGNORED)
             core.log(
                 LogEvent.CHANGE_IGNORED,
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -1,6 +1,7 @@
 """Decodes the items of the platform's store."""
 
 import json
+import math
 from ipaddress import IPv4Address
 from typing import Any
 
@@ -19,7 +20,7 @@
 from berylstair.platform.packet import backend_number
 from berylstair.record import BackendServer, BackendState
 
-__all__ = ['decode_change']
+__all__ = ['CONFIGURATION_KEY', 'decode_change']
 
 SERVER_PREFIX = 'servers/'
 CONFIGURATION_KEY = 'op/config'
@@ -115,23 +116,24 @@
     return Configuration(
         _require_int(published['version']),
         {route.address: route for route in routes},
-        published.get('limits', {}).get('idle_timeout_ms', 15000) / _MS_PER_S,
+        _require_amount(published.get('limits', {}).get('idle_timeout_ms', 15000)) / _MS_PER_S,
     )
 
 
 def _decode_route(route: dict[str, Any]) -> Route:
     # 'prefix' holds the port between slashes.
-    port = int(route['prefix'].strip('/'))
+    address = parse_endpoint(f'{route["host"]}:{route["prefix"].strip("/")}')
     shares = route.get('split') or [{'service': route.get('service'), 'weight': 1}]
     return Route(
-        name=route['name'],
-        address=Endpoint(route['host'], port),
+        name=_require_name(route['name']),
+        address=address,
         weight_by_service={
-            ServiceName(_require_name(share['service'])): float(share['weight']) for share in shares
+            ServiceName(_require_name(share['service'])): _require_amount(share['weight'])
+            for share in shares
         },
         is_idempotent=route['type'] in _IDEMPOTENT_TYPES,
-        timeout_s=route['timeout_ms'] / _MS_PER_S,
-        latency_target_s=route['slo_ms'] / _MS_PER_S,
+        timeout_s=_require_amount(route['timeout_ms']) / _MS_PER_S,
+        latency_target_s=_require_amount(route['slo_ms']) / _MS_PER_S,
         priority=_require_int(route['priority']),
     )
 
@@ -144,6 +146,13 @@
     return value
 
 
+def _require_amount(value: Any) -> float:
+    amount = float(value)
+    if not 0 <= amount < math.inf:
+        raise ValueError(f'{amount} is negative or not a finite number')
+    return amount
+
+
 def _require_name(value: Any) -> str:
     """Returns a text that can stand in messages and log lines."""
     if not isinstance(value, str):
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -16,6 +16,7 @@
 )
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
+from berylstair.platform.items import CONFIGURATION_KEY
 
 __all__ = ['StoreSource']
 
@@ -26,6 +27,8 @@
 _MS_PER_S = 1000
 # The store answers within milliseconds; more than half a second means a fault.
 ANSWER_TIMEOUT_S = 0.6
+# A server's entry has some 200 bytes; the store takes values of up to 1 MB.
+MAX_ENTRY_BYTES = 16_384
 # What reading bytes that may be anything can raise.
 _DECODING_ERRORS = (
     ValueError,
@@ -204,4 +207,8 @@
 
 def _decode_item(entry: dict[str, Any], era: int) -> SourceChange:
     value = None if entry.get('tombstone') else b64decode(entry['value'], validate=True)
-    return SourceChange(str(entry['key']), Position(era, int(entry['rev'])), value)
+    key = str(entry['key'])
+    if value is not None and key != CONFIGURATION_KEY and len(value) > MAX_ENTRY_BYTES:
+        # A listing may hold many of them, and none is an entry of a server.
+        value = b''
+    return SourceChange(key, Position(era, int(entry['rev'])), value)
