Let no message of a peer and no single action stop an event's handling

Found while looking for the same class: CBOR has fractions, decimals and patterns of its own, whose decoding raises errors that the codec did not expect (a decimal out of range ended the reading of all waiting datagrams), and a refusal quoted the odd value, which with shared elements can be longer than any memory. An action that failed, such as a datagram to a port out of range, kept the other actions of the event from being done and the next timer from being set.

--- a/berylstair/codec.py
+++ b/berylstair/codec.py
@@ -17,6 +17,7 @@
 
 _MAX_BATCH_ROWS = 65536
 _INTEGER_LIMIT = 1 << 63
+_MAX_FAULT_CHARS = 200
 
 
 class _RowLayout(NamedTuple):
@@ -88,13 +89,15 @@
         """
         try:
             loaded = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError, RecursionError, TypeError) as error:
-            raise DecodeError(f'not CBOR: {error!r}') from error
+        except Exception as error:
+            # CBOR has types of its own, such as fractions and patterns, which raise anything.
+            raise DecodeError(f'not CBOR: {ascii(error)[:_MAX_FAULT_CHARS]}') from error
         if not isinstance(loaded, list) or not loaded:
             raise DecodeError('message is not a CBOR array or is empty')
         number, *values = loaded
         if type(number) is not int or not 0 <= number < len(self._message_types):
-            raise DecodeError(f'unknown message type {number!r}')
+            # The value itself may be longer than any memory: CBOR lists can share elements.
+            raise DecodeError(f'unknown message type, a {type(number).__name__}')
         message_type = self._message_types[number]
         layout = self._layout_by_type[message_type]
         if len(values) != len(layout):
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -130,6 +130,16 @@
 
         self.post(apply)
 
+    def perform_actions(self) -> None:
+        """Carries out the pending actions; one that fails is logged, and the others are done."""
+        for action in self._steering.take_actions():
+            self._run_guarded(self._handler_by_action[type(action)], action)
+        self._schedule_timer()
+        if self._steering.is_ready != self._was_ready:
+            self._was_ready = self._steering.is_ready
+            position = self._steering.core.directory.position
+            self._log.write(LogEvent.NOW_READY, f'is_ready={self._was_ready} {position}')
+
     async def _start_servers(self) -> None:
         settings = self._settings
         await serve_page(settings.readiness_endpoint, self._ready_page)
@@ -157,23 +167,23 @@
         now = self._read_clock()
         for segment in self._sockets.read_segments():
             self._run_guarded(self._steering.handle_segment, segment, now)
-        self._perform_actions()
+        self.perform_actions()
 
     def _handle_messages(self) -> None:
         for sender_ip, message in self._sockets.read_messages():
             # An answer states this time, which must not be before the message arrived.
             now = self._read_clock()
             self._run_guarded(self._steering.handle_message, sender_ip, message, now)
-        self._perform_actions()
+        self.perform_actions()
 
     def _run_work(self, work: Callable[[float], None]) -> None:
         self._run_guarded(work, self._read_clock())
-        self._perform_actions()
+        self.perform_actions()
 
     def _handle_timer(self) -> None:
         self._timer = None
         self._run_guarded(self._steering.run_timers, self._read_clock())
-        self._perform_actions()
+        self.perform_actions()
 
     def _run_guarded(self, handle: Callable[..., None], *event: Any) -> None:
         """Lets the core handle an event; an exception is logged and the process goes on."""
@@ -192,15 +202,6 @@
             self._steering.handle_pause(paused_s, now)
         return now
 
-    def _perform_actions(self) -> None:
-        for action in self._steering.take_actions():
-            self._handler_by_action[type(action)](action)
-        self._schedule_timer()
-        if self._steering.is_ready != self._was_ready:
-            self._was_ready = self._steering.is_ready
-            position = self._steering.core.directory.position
-            self._log.write(LogEvent.NOW_READY, f'is_ready={self._was_ready} {position}')
-
     def _schedule_timer(self) -> None:
         wake_at = self._steering.wake_at
         if wake_at is None or (self._timer is not None and self._timer_at <= wake_at):
--- a/tests/test_steering_message.py
+++ b/tests/test_steering_message.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from berylstair.errors import DecodeError
 from berylstair.steering_message import (
@@ -91,6 +91,32 @@
 ALTERATIONS = tuple((loaded, path) for loaded in ENCODED_MESSAGES for path in paths_in(loaded))
 
 
+def nest_shared_lists(depth: int) -> bytes:
+    """Returns a short message whose type number is a huge list of shared lists."""
+    nested: list[Any] = []
+    for _ in range(depth):
+        nested = [nested, nested]
+    return cbor2.dumps([nested, 1], value_sharing=True)
+
+
+ODD_MESSAGES = {
+    'deep arrays': b'\x81' * 60_000 + b'\x00',
+    'deep maps': b'\xa1\x00' * 30_000 + b'\x00',
+    'deep tags': b'\xc1' * 60_000 + b'\x00',
+    'bytes longer than any memory': b'\x5b\x7f' + b'\xff' * 7,
+    'array longer than any memory': b'\x9b\x7f' + b'\xff' * 7,
+    'fraction with denominator 0': b'\xd8\x1e\x82\x01\x00',
+    'time out of range': b'\xc1\x1b' + b'\xff' * 8,
+    'decimal out of range': b'\xc4\x82\x1b' + b'\x7f' * 8 + b'\x01',
+    'pattern that does not compile': b'\xd8\x23\x61(',
+    'reference to itself': b'\xd8\x1c\x81\xd8\x1d\x00',
+    'reference to nothing': b'\xd8\x1d\x05',
+    'unhashable key': b'\xa1\x80\x00',
+    'huge number': cbor2.dumps([1 << 60_000]),
+    'shared lists': nest_shared_lists(60),
+}
+
+
 class BrokenMessageTest(TestCase):
     """Handlers take any message that the decoder lets pass."""
 
@@ -119,6 +145,12 @@
                 data = STEERING_CODEC.encode(message)
                 self.assertRaises(DecodeError, STEERING_CODEC.decode, data)
 
+    def test_an_odd_message_raises_a_short_decode_error(self) -> None:
+        for name, data in ODD_MESSAGES.items():
+            with self.subTest(name=name):
+                error = self.assertRaises(DecodeError, STEERING_CODEC.decode, data)
+                self.assertThat(len(str(error)), LessThan(300))
+
     def test_a_member_without_an_ip_address_is_refused(self) -> None:
         for ip in ('', 'entry-9', '10.0.0', '\x00', 'a' * 300):
             world = self.make_world()
