Play old directories in soak runs: odd entries, refused instances, a slow zone

The soak's disruptions either impaired the whole store or marked the instances concerned as disrupted, so no run asked calm ones to follow while others were slow or refused, and all entries were sound.

--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -18,6 +18,7 @@
         delay_ms: Least and greatest delay; a range reorders packets.
         is_blocked: Whether all packets are lost.
         resets_connections: Whether connections end with a reset.
+        refuses_calls: Whether each HTTP call is answered with status 503.
     """
 
     drop_ratio: float = 0.0
@@ -25,6 +26,7 @@
     delay_ms: tuple[float, float] = (0.0, 0.0)
     is_blocked: bool = False
     resets_connections: bool = False
+    refuses_calls: bool = False
 
 
 class Link:
--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -74,13 +74,14 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def put(self, key: str, value: Any) -> int:
-        """Writes an item, a value other than a string as JSON, and returns its revision."""
-        text = value if isinstance(value, str) else json.dumps(value)
+        """Writes an item, a value other than text or bytes as JSON, and returns its revision."""
+        text = value if isinstance(value, (str, bytes)) else json.dumps(value)
+        data = text if isinstance(text, bytes) else text.encode()
         with self._changed:
             self._revision += 1
             item = {
                 'key': key,
-                'value': b64encode(text.encode()).decode(),
+                'value': b64encode(data).decode(),
                 'rev': self._revision,
                 'create_rev': self._items.get(key, {}).get('create_rev', self._revision),
                 'lease': 0,
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -5,20 +5,29 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from emulator.faults import Faults
+from emulator.odd_entries import ODD_ENTRIES
 from emulator.platform_store import StoreFault
 from soak.environment import PEER_PROPAGATION_LIMIT_S, SERVICES, ZONES, SoakEnvironment
 from soak.fleet import STORE, InstanceProcess
 
-__all__ = ['DISRUPTION_BY_NAME', 'STORE_RESTORE', 'Disruption']
+__all__ = ['DISRUPTION_BY_NAME', 'OLD_DIRECTORY_KINDS', 'STORE_RESTORE', 'Disruption']
 
 Disruption = Callable[[SoakEnvironment, float], Awaitable[None]]
 STORE_RESTORE = 'restore_store'
+# Kinds that have made instances serve on an old directory.
+OLD_DIRECTORY_KINDS = ('odd_entries', 'refuse_some', 'slow_zone')
 _LOSSY = Faults(drop_ratio=0.1, duplicate_ratio=0.1, delay_ms=(0.0, 30.0))
 _BLOCKED = Faults(is_blocked=True)
 _RESET = Faults(resets_connections=True)
+_REFUSED = Faults(refuses_calls=True)
+# Packets wait for over half a second at a link that more is sent to than it can carry.
+_SLOW = Faults(delay_ms=(700.0, 700.0))
+# A burst of clients, and the time for which its packets go on waiting.
+SLOW_ZONE_S = 8.0
+ODD_ENTRY_COUNT = 4
 
 
 def _sample_instances(environment: SoakEnvironment, share: float) -> list[InstanceProcess]:
@@ -82,9 +91,14 @@
 
 
 async def _inject_link_faults(
-    environment: SoakEnvironment, links: list[tuple[str, str]], faults: Faults, for_s: float
+    environment: SoakEnvironment,
+    links: list[tuple[str, str]],
+    faults: Faults,
+    for_s: float,
+    affected: Sequence[str] = (),
 ) -> None:
-    affected_names = {name for link in links for name in link}
+    """Injects faults into links; the affected instances are those at either end by default."""
+    affected_names = affected or {name for link in links for name in link}
     for instance in environment.fleet.instances:
         if instance.name in affected_names:
             environment.fleet.mark_disrupted(instance, for_s)
@@ -192,6 +206,44 @@
     await environment.check_route(route)
 
 
+async def _write_odd_entries(environment: SoakEnvironment, for_s: float) -> None:
+    """Leaves unusable entries among those of the servers; changes are followed all the same."""
+    names = environment.rng.sample(sorted(ODD_ENTRIES), ODD_ENTRY_COUNT)
+    keys = [f'servers/i-{environment.rng.getrandbits(32):08x}' for _ in names]
+    for key, name in zip(keys, names, strict=True):
+        environment.store.put(key, ODD_ENTRIES[name])
+    await _change_routes(environment, for_s)
+    for key in keys:
+        environment.store.remove(key)
+
+
+async def _refuse_some(environment: SoakEnvironment, for_s: float) -> None:
+    """Lets the store turn some instances away; these follow the others."""
+    refused = _sample_instances(environment, 0.5)
+    links = [environment.links.get_link(instance.name, STORE) for instance in refused]
+    for link in links:
+        link.faults = _REFUSED
+    changes = asyncio.create_task(_change_routes(environment, for_s))
+    await environment.mark_store_disrupted(for_s + PEER_PROPAGATION_LIMIT_S)
+    for link in links:
+        link.faults = Faults()
+    await changes
+
+
+async def _slow_zone(environment: SoakEnvironment, for_s: float) -> None:
+    """Lets packets wait at the links of a zone; the other zones follow changes in time."""
+    zone = environment.rng.choice(ZONES)
+    names = [instance.name for instance in environment.fleet.instances]
+    slow = [instance.name for instance in environment.fleet.instances if instance.zone == zone]
+    links = [(one, other) for one in slow for other in names if one != other]
+    links.extend((other, one) for one, other in tuple(links))
+    links.extend((one, STORE) for one in slow)
+    links.extend(('peers', one) for one in slow)
+    changes = asyncio.create_task(_change_routes(environment, for_s))
+    await _inject_link_faults(environment, links, _SLOW, SLOW_ZONE_S, affected=slow)
+    await changes
+
+
 async def _crash_servers(environment: SoakEnvironment, for_s: float) -> None:
     numbers = environment.rng.sample(
         range(len(environment.server_addresses)), max(len(environment.server_addresses) // 4, 1)
@@ -261,5 +313,8 @@
     'release': _drain_servers,
     'reuse_addresses': _swap_services,
     'change_routes': _change_routes,
+    'odd_entries': _write_odd_entries,
+    'refuse_some': _refuse_some,
+    'slow_zone': _slow_zone,
     STORE_RESTORE: _restore_store,
 }
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -366,11 +366,15 @@
         else:
             route.refused_by.add(instance.name)
 
+    async def mark_store_disrupted(self, for_s: float) -> None:
+        """Counts the store as disrupted until the end of a pause."""
+        self.store_disrupted_until = max(self.store_disrupted_until, self.clock.now() + for_s)
+        await asyncio.sleep(for_s)
+
     async def inject_store_fault(self, fault: StoreFault, for_s: float) -> None:
         """Injects a store fault that affects all instances."""
-        self.store_disrupted_until = max(self.store_disrupted_until, self.clock.now() + for_s)
         self.store.fault = fault
-        await asyncio.sleep(for_s)
+        await self.mark_store_disrupted(for_s)
         self.store.fault = StoreFault.NONE
 
     async def restore_store(self, copy: StoreCopy, down_s: float) -> None:
--- a/soak/links.py
+++ b/soak/links.py
@@ -12,6 +12,7 @@
 
 READ_CHUNK_BYTES = 65536
 _MS_PER_S = 1000
+_REFUSAL = b'HTTP/1.1 503 Busy\r\nStore-Era: 0\r\nContent-Length: 2\r\n\r\n{}'
 
 
 class Links:
@@ -121,7 +122,10 @@
         except OSError:
             writer.transport.abort()
             return
-        directions = (self._relay(reader, target_writer), self._relay(target_reader, writer))
+        directions = (
+            self._relay(reader, target_writer, writer),
+            self._relay(target_reader, writer, None),
+        )
         tasks = [asyncio.create_task(direction) for direction in directions]
         # A cancelled relay cleans up as after the end of a connection.
         with suppress(asyncio.CancelledError):
@@ -131,8 +135,19 @@
         target_writer.transport.abort()
         writer.transport.abort()
 
-    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Copies data until the end; data that arrives on a blocked link is never delivered."""
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        caller: asyncio.StreamWriter | None,
+    ) -> None:
+        """Copies data until the end; data that arrives on a blocked link is never delivered.
+
+        Args:
+            reader: Where the data comes from.
+            writer: Where it goes.
+            caller: Where a refusal goes in place of the data, None in the direction of answers.
+        """
         with suppress(ConnectionError):
             while data := await reader.read(READ_CHUNK_BYTES):
                 faults = self._link.faults
@@ -141,5 +156,8 @@
                 if faults.resets_connections:
                     return
                 await asyncio.sleep(faults.delay_ms[1] / _MS_PER_S)
-                writer.write(data)
-                await writer.drain()
+                target = writer
+                if faults.refuses_calls and caller is not None:
+                    target, data = caller, _REFUSAL
+                target.write(data)
+                await target.drain()
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from soak.callers import Caller, CallerFlow
-from soak.disruptions import DISRUPTION_BY_NAME, STORE_RESTORE
+from soak.disruptions import DISRUPTION_BY_NAME, OLD_DIRECTORY_KINDS, STORE_RESTORE
 from soak.environment import SERVICES, SoakEnvironment
 from soak.fleet import InstanceProcess
 from soak.observations import Finding, Promise, RequestOutcome
@@ -26,10 +26,12 @@
 # Numbers of disruption kinds in a run, besides one change of servers or routes. With
 # many kinds, hardly any instance settles, and time limits apply only to settled ones.
 DISRUPTION_COUNTS = (1, 2, 3, 5)
-# The store is restored from a copy with the seeds 3, 7, 11 and so on. Among the sampled
-# kinds it would change the disruptions of the regression seeds.
-RESTORE_SEED_STEP = 4
-SAMPLED_DISRUPTIONS = tuple(sorted(set(DISRUPTION_BY_NAME) - {STORE_RESTORE}))
+# Kinds that only some seeds have, by the seed's remainder: the store is restored from a copy
+# with the seeds 3, 7, 11 and so on, and the directory may grow old with 2, 6, 10 and so on.
+# Among the sampled kinds they would change the disruptions of the regression seeds.
+SEED_REMAINDERS = 4
+KINDS_BY_SEED_REMAINDER = {2: OLD_DIRECTORY_KINDS, 3: (STORE_RESTORE,)}
+SAMPLED_DISRUPTIONS = tuple(sorted(set(DISRUPTION_BY_NAME) - {STORE_RESTORE, *OLD_DIRECTORY_KINDS}))
 DIRECTORY_CHANGES = ('change_routes', 'release', 'reuse_addresses')
 _DISRUPTION_GAP_RANGE_S = (0.2, 2.5)
 _DISRUPTION_DURATION_RANGE_S = (0.5, 5.0)
@@ -104,9 +106,7 @@
         rng.choice(DIRECTORY_CHANGES),
         *rng.sample(SAMPLED_DISRUPTIONS, rng.choice(DISRUPTION_COUNTS)),
     ]
-    if seed % RESTORE_SEED_STEP == RESTORE_SEED_STEP - 1:
-        names.append(STORE_RESTORE)
-    return names
+    return [*names, *KINDS_BY_SEED_REMAINDER.get(seed % SEED_REMAINDERS, ())]
 
 
 async def _inject_disruptions(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,12 @@
         FAULT_INJECTION_S,
         'a version under a revision that was given out before a restore was not in force',
     ),
+    (
+        6,
+        6,
+        FAULT_INJECTION_S,
+        'odd entries, refused instances and a slow zone: instances served on an old directory',
+    ),
 )
 
 
