Go on reading in the reader's place until another instance reads

With the instance that reads for all refused, cut or slow, another one read once and stopped: its answer made the directory fresh for all, and nobody watched until it was overdue again, so a change took up to 1.8 s more. In a small fleet an overdue instance now goes on as a substitute until it hears a newer confirmation of another one.

--- a/berylstair/read_schedule.py
+++ b/berylstair/read_schedule.py
@@ -38,24 +38,33 @@
         """Chooses the instance's jitter."""
         self._core = core
         self._jitter_ratio = core.rng.random() * READ_JITTER_RATIO
+        # Whether this instance reads in the place of the one that should.
+        self._is_substitute = False
 
     def plan(self, now: float) -> ReadPlan:
         """Returns what to read at a time in seconds.
 
         A watch ends when the directory has been unconfirmed for ``WATCH_TIMEOUT_S``:
-        its answer confirms the directory for all instances.
+        its answer confirms the directory for all instances. In a small fleet, one
+        that had to read in the reader's place goes on until another one reads.
         """
         core = self._core
+        membership = core.fleet.membership
         position = core.directory.position
-        age_s = core.fleet.membership.confirmation_age_s(now)
+        age_s = membership.confirmation_age_s(now)
         max_age_s = core.settings.time_limits.propagation_s * (
             READ_DELAY_RATIO - self._jitter_ratio
         )
-        is_due = (
-            position == START_POSITION
-            or age_s is None
-            or age_s > max_age_s
-            or core.fleet.is_source_reader()
-        )
+        is_overdue = age_s is None or age_s > max_age_s
+        is_source_reader = core.fleet.is_source_reader()
+        if is_source_reader or core.fleet.is_large or age_s is None:
+            # Confirmations take longer to reach all of a large fleet, so that some instance
+            # is overdue at any time: as substitutes they would all call the source.
+            self._is_substitute = False
+        elif is_overdue:
+            self._is_substitute = True
+        elif membership.confirmed_by != core.fleet.own_id:
+            self._is_substitute = False
+        is_due = position == START_POSITION or is_overdue or is_source_reader
         wait_s = 0 if age_s is None else min(max(WATCH_TIMEOUT_S - age_s, 0), WATCH_TIMEOUT_S)
-        return ReadPlan(is_due, position, wait_s)
+        return ReadPlan(is_due or self._is_substitute, position, wait_s)
