--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Contains, Equals
 
 from emulator.cluster import wait_until
+from emulator.odd_entries import ODD_ENTRIES
 from emulator.platform_fleet import RESPONSE_DATA, PlatformCaller, PlatformFleet
 from emulator.platform_store import StoreFault
 from emulator.usage import handles_signal
@@ -198,3 +199,20 @@
         fleet.publish_routes(2)
         fleet.send_signal(1, signal.SIGCONT)
         self.call_through(fleet, caller, [0, 1])
+
+    def test_odd_entries_keep_no_instance_from_following_or_starting(self) -> None:
+        fleet = self.start_fleet()
+        for number, odd_value in enumerate(ODD_ENTRIES.values()):
+            fleet.store.put(f'servers/i-{number + 0xC0FFEE:08x}', odd_value)
+        revision = fleet.publish_routes(2, port=444)
+        fleet.wait_for_revision(revision)
+        fleet.send_signal(2, signal.SIGKILL)
+        fleet.start_instance(2)
+        fleet.wait_until_ready(2)
+        for process in fleet.process_by_number.values():
+            self.assertThat(process.poll(), Equals(None))
+        for number in fleet.process_by_number:
+            self.assertThat('internal_fault' in fleet.read_log(number), Equals(False))
+        fleet.publish_routes(3)
+        fleet.wait_for_revision(revision + 1)
+        self.call_through(fleet, fleet.add_caller(), [0, 1, 2])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,7 +41,7 @@
         'a version under a revision that was given out before a restore was not in force',
     ),
     (
-        6,
+        18,
         6,
         FAULT_INJECTION_S,
         'odd entries, refused instances and a slow zone: instances served on an old directory',
