Keep the server of a flow that was offered to several until it is idle

Cause: a SYN+ACK is lost, the flow opens at a second server, and the first one's late SYN+ACK leaves its tag with the caller. The instance forgot such a flow 3 s after its last segment and then followed the tag. It now remembers a flow with more than one offer for the idle timeout; other flows are forgotten as before, as their tag is enough.

The test fails before (segment sent to the first server). Open: if the rotation moves such a flow to another instance, the tag decides.

--- a/berylstair/flowtrack.py
+++ b/berylstair/flowtrack.py
@@ -128,4 +128,10 @@
 
 
 def _retention_s(flow: TrackedFlow, idle_s: float) -> float:
-    return ENDED_FLOW_RETENTION_S if flow.phase is FlowPhase.OVER else idle_s
+    """Returns how long a flow is kept.
+
+    A flow that was offered to several servers may have taken over the tag of one
+    that does not hold it, so its server is known only here.
+    """
+    is_tag_enough = flow.phase is FlowPhase.OVER and not flow.excluded
+    return ENDED_FLOW_RETENTION_S if is_tag_enough else idle_s
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -254,6 +254,28 @@
             self.assertThat(flow.outcome, Equals('answered'))
             self.assertThat(world.misrouted_segments, Equals(0))
 
+    def test_a_late_accept_resets_no_open_flow_after_a_pause_of_its_caller(self) -> None:
+        world = make_world(instances=1, zones=1, servers=2)
+        steering = next(iter(world.steering_by_ip.values()))
+        for server in world.server_by_id.values():
+            server.accept_delay_s = 0.1
+        flow = world.start_flow()
+        world.run(1)
+        openings = [
+            server
+            for server in world.server_by_id.values()
+            if server.opening_count_by_flow[flow.key]
+        ]
+        self.assertThat(len(openings), Equals(2))
+        other = next(server for server in openings if server.backend_server.id != flow.backend_id)
+        # The caller sends its next request after a pause, with the tag of the other server.
+        world.run(8)
+        tag = tag_of(other.backend_server.id)
+        segment = Segment(flow.key, False, False, False, 9, flow.acknowledged, tag, b'')
+        steering.handle_segment(segment, world.now)
+        targets = [action.server.id for action in steering.take_actions() if is_offer(action)]
+        self.assertThat(targets, Equals([flow.backend_id]))
+
     def test_an_answer_during_a_repeated_placement_request(self) -> None:
         # The caller's first segment after the opening one arrives between the repeated
         # placement request and its reply.
