Drop opening segments that arrived while the process was paused

Cause: a process that wakes read the opening segments of its pause as new and offered the flows, long open elsewhere, to further servers, whose SYN+ACKs left their tags with the callers. Their callers have sent these segments again through another instance or have given up, and nothing has run, so they are now dropped and counted as late_wake.

--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -5,6 +5,7 @@
 the tag of their server, so that any instance can forward them.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
@@ -52,6 +53,8 @@
 # With at most this many reachable instances, all of them are told of a flow that moved to
 # another instance; in a larger fleet the dispatching instance tells the flow's holder.
 MAX_RELEASE_BROADCAST_PEERS = 32
+# The segments that arrived during a pause are read within this time after it.
+BACKLOG_READ_S = 0.25
 MS_PER_S = 1000
 
 
@@ -79,6 +82,7 @@
         self._flow_opener = FlowOpener(self.core)
         self._stop_requested_at: float | None = None
         self._last_segment_at = now
+        self._backlog_until = -math.inf
         self._is_directory_stale = False
         self._placement = PlacementProtocol(self.core, self._flow_opener)
         self.directory_sync = DirectorySync(self.core, decode_change)
@@ -122,6 +126,9 @@
         """Handles a segment from a caller."""
         self._last_segment_at = now
         self.core.counters.record_traffic(Traffic.CALLER_DATAGRAMS)
+        if segment.is_opening and now < self._backlog_until:
+            self.core.counters.record_refusal(ErrorKind.LATE_WAKE)
+            return
         if segment.is_opening:
             self._flow_opener.handle_opening_segment(segment, now)
             self._placement.place_waiting_flows(now)
@@ -194,8 +201,17 @@
         self._placement.send_lease_reports(now)
         self.core.timers.schedule(now + STOP_CHECK_INTERVAL_S, self._check_stop)
 
+    def handle_backlog_end(self) -> None:
+        """Notes that the segments that arrived during a pause have been read."""
+        self._backlog_until = -math.inf
+
     def handle_pause(self, paused_s: float, now: float) -> None:
-        """Recovers after this process was paused."""
+        """Recovers after this process was paused.
+
+        Opening segments that arrived during the pause are dropped: their callers
+        have sent them again, through another instance, or have given up.
+        """
+        self._backlog_until = now + BACKLOG_READ_S
         self.core.counters.record_traffic(Traffic.PAUSES)
         self.core.log(LogEvent.PAUSED, f'seconds={paused_s:.1f}')
         self.core.fleet.membership.reset_peer_timeouts(now)
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -21,6 +21,7 @@
 from berylstair.steering_links import fetch_directory, serve_directory, serve_page
 from berylstair.steering_ports import SteeringSockets
 from berylstair.steering_settings import SteeringSettings
+from berylstair.udp import MAX_DATAGRAMS_PER_READ
 
 __all__ = ['SteeringActor', 'SteeringLoop']
 
@@ -165,8 +166,11 @@
 
     def _handle_segments(self) -> None:
         now = self._read_clock()
-        for segment in self._sockets.read_segments():
+        segments = list(self._sockets.read_segments())
+        for segment in segments:
             self._run_guarded(self._steering.handle_segment, segment, now)
+        if len(segments) < MAX_DATAGRAMS_PER_READ:
+            self._steering.handle_backlog_end()
         self.perform_actions()
 
     def _handle_messages(self) -> None:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -276,6 +276,21 @@
         targets = [action.server.id for action in steering.take_actions() if is_offer(action)]
         self.assertThat(targets, Equals([flow.backend_id]))
 
+    def test_an_opening_from_before_a_pause_is_not_offered(self) -> None:
+        world = make_world(instances=1, zones=1, servers=2)
+        steering = next(iter(world.steering_by_ip.values()))
+        key = FlowKey(bytes(6) + bytes((198, 18, 0, 1)) + SERVICE_ADDRESS.port.to_bytes(2, 'big'))
+        opening = Segment(key, True, False, False, 7, 0, 0, b'')
+        steering.take_actions()
+        for is_backlog, expected in ((True, False), (False, True)):
+            steering.handle_pause(4.0, world.now)
+            if not is_backlog:
+                steering.handle_backlog_end()
+            steering.handle_segment(opening, world.now)
+            is_offered = any(is_offer(action) for action in steering.take_actions())
+            with self.subTest(is_backlog=is_backlog):
+                self.assertThat(is_offered, Equals(expected))
+
     def test_an_answer_during_a_repeated_placement_request(self) -> None:
         # The caller's first segment after the opening one arrives between the repeated
         # placement request and its reply.
