Let the cancellation of a peer's connection end it also as its Hello arrives

Seen once: test_mutual_tls hung in asyncio.run, as a task outlived its cancellation. Cause: in Python 3.11, asyncio.wait_for returns the result, and drops the cancellation, if the awaited message is there when the task is cancelled; the connection then went on reading until its other end closed. asyncio.timeout raises the cancellation. The other two uses of wait_for, in the directory's exchange, are replaced as well.

--- a/berylstair/peers.py
+++ b/berylstair/peers.py
@@ -102,6 +102,26 @@
             self._counters.record_traffic(Traffic.CONTROL_BYTES, len(data))
             outboxes[-1].put_nowait(data)
 
+    async def run_connection(self, connection: Connection, expected_id: InstanceId | None) -> None:
+        """Exchanges Hello messages, then carries messages until the connection closes."""
+        core = self._settings.core
+        hello = Hello(core.instance, core.incarnation, core.zone)
+        await connection.send(encode_message(hello))
+        peer_id = await self._receive_hello(connection, expected_id)
+        if peer_id is None:
+            return
+        outbox: asyncio.Queue[bytes] = asyncio.Queue()
+        self._outboxes_by_id[peer_id].append(outbox)
+        writer = asyncio.create_task(_write_messages(connection, outbox))
+        self._post_event(PeerOpened(peer_id))
+        try:
+            await self._read_messages(connection, peer_id)
+        finally:
+            writer.cancel()
+            self._outboxes_by_id[peer_id].remove(outbox)
+            if not self._outboxes_by_id[peer_id]:
+                self._post_event(PeerClosed(peer_id))
+
     async def _run_dial_loop(self, endpoint: Endpoint, expected_id: InstanceId | None) -> None:
         while True:
             try:
@@ -124,30 +144,10 @@
             close_timeout=REDIAL_INTERVAL_S,
             proxy=None,
         ) as connection:
-            await self._run_connection(connection, expected_id)
+            await self.run_connection(connection, expected_id)
 
     async def _accept(self, connection: Connection) -> None:
-        await self._run_connection(connection, None)
-
-    async def _run_connection(self, connection: Connection, expected_id: InstanceId | None) -> None:
-        """Exchanges Hello messages, then carries messages until the connection closes."""
-        core = self._settings.core
-        hello = Hello(core.instance, core.incarnation, core.zone)
-        await connection.send(encode_message(hello))
-        peer_id = await self._receive_hello(connection, expected_id)
-        if peer_id is None:
-            return
-        outbox: asyncio.Queue[bytes] = asyncio.Queue()
-        self._outboxes_by_id[peer_id].append(outbox)
-        writer = asyncio.create_task(_write_messages(connection, outbox))
-        self._post_event(PeerOpened(peer_id))
-        try:
-            await self._read_messages(connection, peer_id)
-        finally:
-            writer.cancel()
-            self._outboxes_by_id[peer_id].remove(outbox)
-            if not self._outboxes_by_id[peer_id]:
-                self._post_event(PeerClosed(peer_id))
+        await self.run_connection(connection, None)
 
     async def _receive_hello(
         self,
@@ -156,7 +156,8 @@
     ) -> InstanceId | None:
         """Returns the peer's id, or None if no valid Hello of an authorized peer came."""
         try:
-            first = await asyncio.wait_for(connection.recv(), OPEN_TIMEOUT_S)
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                first = await connection.recv()
             hello = decode_message(first if isinstance(first, bytes) else b'')
         except DecodeError:
             self._counters.record_refusal(ErrorKind.MALFORMED_MESSAGE)
--- a/berylstair/steering_links.py
+++ b/berylstair/steering_links.py
@@ -85,7 +85,8 @@
         SourceError: They could not be fetched.
     """
     try:
-        return await asyncio.wait_for(_fetch(target, after), FETCH_TIMEOUT_S)
+        async with asyncio.timeout(FETCH_TIMEOUT_S):
+            return await _fetch(target, after)
     except (OSError, EOFError, DecodeError, TimeoutError) as error:
         raise SourceError(f'{type(error).__name__}: {error}') from error
 
@@ -105,7 +106,8 @@
 
     async def handle_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            await asyncio.wait_for(handle(reader, writer), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await handle(reader, writer)
         except (OSError, EOFError, asyncio.LimitOverrunError, DecodeError, TimeoutError):
             # The other end sees the connection close, and tries again later.
             return
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -184,6 +184,39 @@
             await asyncio.sleep(0.02)
 
 
+class ArrivingConnection:
+    """A connection whose first message has just arrived, and which then stays silent.
+
+    Attributes:
+        is_read: Set when the first message is returned.
+        is_closed: Ends the reading of further messages.
+    """
+
+    def __init__(self, first: bytes) -> None:
+        """Prepares the first message."""
+        self.is_read = asyncio.Event()
+        self.is_closed = asyncio.Event()
+        self._first = first
+
+    async def send(self, _data: bytes) -> None:
+        """Takes any message."""
+
+    async def recv(self) -> bytes:
+        """Returns the first message."""
+        await asyncio.sleep(0)
+        self.is_read.set()
+        return self._first
+
+    def __aiter__(self) -> 'ArrivingConnection':
+        """Returns the iterator over further messages."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Waits until the connection is closed."""
+        await self.is_closed.wait()
+        raise StopAsyncIteration
+
+
 class PeerConnectionsTest(TestCase):
     """Authorization of peers, replaced connections and malformed messages."""
 
@@ -208,6 +241,23 @@
                     second = _write_tls_files(Path(folder), issuer, authority, name)
                     self.assertThat(asyncio.run(self._connects(first, second)), Equals(is_open))
 
+    def test_a_connection_cancelled_as_its_first_message_arrives_ends(self) -> None:
+        async def cancel_at_hello() -> bool:
+            plaintext = {'mode': 'plaintext'}
+            one, two = self.make_peer_ends(plaintext, plaintext)
+            hello = encode_message(Hello(two.instance.id, 1, two.instance.zone))
+            connection = ArrivingConnection(hello)
+            task = asyncio.create_task(one.connections.run_connection(connection, None))
+            await connection.is_read.wait()
+            # The message is read, and the task is about to learn of it.
+            await asyncio.sleep(0)
+            task.cancel()
+            done, _ = await asyncio.wait({task}, timeout=1)
+            connection.is_closed.set()
+            return task in done and task.cancelled()
+
+        self.assertThat(asyncio.run(cancel_at_hello()), Equals(True))
+
     async def _connects(self, first: dict[str, str], second: dict[str, str]) -> bool:
         one, two = self.make_peer_ends(first, second)
         listed = {peer_end.instance.id: peer_end.instance for peer_end in (one, two)}
