End a listing whose pages repeat

Found while reading for loops: a store that answers every page with the same items and has_more kept a reader in the listing for good, collecting them. A page must go on behind the one before, otherwise the read has failed, with the usual pause.

--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -101,6 +101,8 @@
             position = position or page.position
             listed_items.extend(page.changes)
             has_more = page.has_more and bool(page.changes)
+            if has_more and page.changes[-1].key <= after_key:
+                raise SourceError(f'a page after {after_key!a} does not go on behind it')
             after_key = listed_items[-1].key if listed_items else ''
         return SourceListing(position or page.position, tuple(listed_items))
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -56,6 +56,11 @@
         self.assertThat(len(listing.changes), Equals(PAGE_ITEMS * 2 + 1))
         self.assertThat(listing.changes[3].value, Equals(b'{"n": 3}'))
 
+    def test_pages_that_repeat_end_the_listing(self) -> None:
+        page = {'items': [ITEM], 'has_more': True, 'store_revision': 7}
+        with mock.patch.object(self.store, 'handle_request', return_value=(200, page)):
+            self.assertRaises(SourceError, self.source.read_all)
+
     def test_changes_after_a_revision(self) -> None:
         first = self.store.put('a', 'x')
         self.store.put('b', 'y')
