--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -101,9 +101,7 @@
             position = position or page.position
             listed_items.extend(page.changes)
             has_more = page.has_more and bool(page.changes)
-            if has_more and page.changes[-1].key <= after_key:
-                raise SourceError(f'a page after {after_key!a} does not go on behind it')
-            after_key = listed_items[-1].key if listed_items else ''
+            after_key = _find_last_key(page, after_key)
         return SourceListing(position or page.position, tuple(listed_items))
 
     def watch(self, after: Position, wait_s: float) -> SourceListing:
@@ -196,6 +194,20 @@
         return connection
 
 
+def _find_last_key(page: _Page, after_key: str) -> str:
+    """Returns the key behind which the next page begins.
+
+    Raises:
+        SourceError: The page does not go on behind the one before.
+    """
+    if not page.changes:
+        return after_key
+    last_key = page.changes[-1].key
+    if last_key <= after_key:
+        raise SourceError(f'a page after {after_key!a} does not go on behind it')
+    return last_key
+
+
 def _decode_page(answer: _Answer) -> _Page:
     changes = tuple(_decode_item(entry, answer.era) for entry in answer.body['items'])
     return _Page(_decode_position(answer), changes, bool(answer.body['has_more']))
