Test that odd entries raise no fault and take the server they replace out of use

make red showed that the guard around each change hid the decoding from the test of odd entries (green without the mechanism): no fault may be logged now, and an odd entry under a server's own key must take it out of use. Both turn red without it.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,8 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Not
 
+from berylstair.catalogue import LogEvent
 from berylstair.directory import Position, SourceChange
 from berylstair.directory_source import SourceListing
 from berylstair.ids import Endpoint, InstanceId, ServiceName, ZoneId
@@ -100,6 +101,7 @@
                 STEERING_CODEC.encode(action.message)
             elif isinstance(action, LogEntry):
                 action.detail.encode()
+                self.assertThat(action.event_number, Not(Equals(LogEvent.INTERNAL_FAULT)))
                 self.assertThat(len(action.detail) < 1000, Equals(True))
             elif isinstance(action, SendSegment):
                 self.fail('no caller has sent anything')
@@ -109,6 +111,16 @@
             with self.subTest(name=name):
                 self.check(ODD_KEY, odd_value)
 
+    def test_an_odd_entry_in_place_of_its_own_takes_a_server_out_of_use(self) -> None:
+        for name, odd_value in ODD_ENTRIES.items():
+            with self.subTest(name=name):
+                instance = make_instance()
+                list_changes(instance, make_changes(ODD_KEY, b'{}'))
+                change = SourceChange(GOOD_KEY, Position(ERA, 9), odd_value)
+                listing = SourceListing(change.position, (change,))
+                instance.handle_listing(listing, False, NOW, NOW)
+                self.assertThat(accepting_ids(instance), Equals([]))
+
     def test_an_odd_key_stops_no_instance_from_following(self) -> None:
         for odd_key in ODD_KEYS:
             with self.subTest(key=odd_key):
