--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -25,11 +25,11 @@
 SERVER_PREFIX = 'servers/'
 CONFIGURATION_KEY = 'op/config'
 # The fault of an entry quotes it, and entries may be long.
-MAX_FAULT_CHARS = 120
+_MAX_FAULT_CHARS = 120
 _MS_PER_S = 1000
 _DEFAULT_MAX_CONNECTIONS = 2000
 # Messages between instances carry integers of 64 bits with a sign.
-MAX_NUMBER = (1 << 63) - 1
+_MAX_NUMBER = (1 << 63) - 1
 # More than any machine runs concurrently, and few enough to be added up.
 _MAX_SLOTS = 1 << 16
 _MAX_WARMUP_MS = 24 * 3600 * _MS_PER_S
@@ -80,7 +80,7 @@
 
 
 def _describe_fault(error: Exception) -> str:
-    return ascii(error)[:MAX_FAULT_CHARS]
+    return ascii(error)[:_MAX_FAULT_CHARS]
 
 
 def _decode_registration(backend: BackendId, entry: dict[str, Any]) -> ServerRegistration:
@@ -138,7 +138,7 @@
     )
 
 
-def _require_int(value: Any, least: int = 0, most: int = MAX_NUMBER) -> int:
+def _require_int(value: Any, least: int = 0, most: int = _MAX_NUMBER) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f'{type(value).__name__} in place of an integer')
     if not least <= value <= most:
--- a/emulator/simulated_reader.py
+++ b/emulator/simulated_reader.py
@@ -1,5 +1,7 @@
 """Reads the simulated store for one instance, as its reader actor would."""
 
+from collections.abc import Callable
+
 from berylstair.directory_source import SourceListing
 from berylstair.read_schedule import ReadPlan, ReadSchedule
 from emulator.simulation import SimulatedWorld
@@ -30,7 +32,7 @@
         self._schedule = ReadSchedule(world.steering_by_ip[ip].core)
         self._continue_after(0, self._poll)
 
-    def _continue_after(self, delay_s: float, step: object) -> None:
+    def _continue_after(self, delay_s: float, step: Callable[[], None]) -> None:
         """Schedules the next step, which a frozen process takes once it has woken."""
         self._world.schedule_at(self._ip, delay_s, step)
 
