Rank a peer that states no capacity as one of the least

Callers saw: every new flow of every instance failed while a heartbeat stated a capacity of 0 placements a second; the flow's segment was dropped with E107. Cause: rendezvous weights divide by the capacity, and the number of a heartbeat was taken as it came; a negative one turned the order round. Change: a stated capacity counts as at least 1. Evidence: test_no_capacity_that_a_peer_states_ends_placements failed before (ZeroDivisionError: float division by zero) and passes now.

--- a/berylstair/dispatcher_ranking.py
+++ b/berylstair/dispatcher_ranking.py
@@ -54,7 +54,8 @@
         return self._own_id
 
     def record_capacity(self, peer: InstanceId, capacity: int) -> None:
-        """Records the capacity that a peer reports, in placements per second."""
+        """Records the capacity that a peer reports, in placements per second, at least 1."""
+        capacity = max(capacity, 1)
         if self._capacity_by_id.get(peer) != capacity:
             self._capacity_by_id[peer] = capacity
             self._cached_for_eligible = ()
