Count a negative age in a peer's message as none

Callers saw: slots that stayed taken, and waiting flows that never left the queue, after a lease report or a placement request with a negative age. Cause: the age was subtracted from the time of arrival, so the lease or the wait began in the future. It never expired, and a lease was never old enough to be dropped by its holder's next report. Change: ages count as at least 0. Evidence: test_no_age_that_a_peer_states_keeps_a_slot_or_a_place_in_the_queue failed before (10 leases left after 3 s in place of 0) and passes now.

--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -124,8 +124,8 @@
             PlacementConstraints(
                 sender.zone if sender else self._core.settings.zone, row.route_name, excluded
             ),
-            now - row.waited_ms / MS_PER_S,
-            now - row.since_last_opening_ms / MS_PER_S,
+            now - max(row.waited_ms, 0) / MS_PER_S,
+            now - max(row.since_last_opening_ms, 0) / MS_PER_S,
             row.latency_target_ms / MS_PER_S,
             row.priority,
         )
@@ -198,7 +198,7 @@
                 row.route_name,
                 peer,
                 now,
-                row.age_ms / MS_PER_S,
+                max(row.age_ms, 0) / MS_PER_S,
             )
             for row in report.rows
         ]
--- a/tests/test_peer_numbers.py
+++ b/tests/test_peer_numbers.py
@@ -1,9 +1,17 @@
 """Tests of numbers in peers' messages that no instance of this build sends."""
 
+from random import Random
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from emulator.simulation import SimulatedWorld
+from berylstair.steering_message import (
+    LeaseReport,
+    LeaseRow,
+    PlacementRequestBatch,
+    PlacementRequestRow,
+)
+from emulator.simulation import SERVICE, SimulatedWorld
 
 MAX_INTEGER = (1 << 63) - 1
 
@@ -30,3 +38,25 @@
             world.run(0.3)
             with self.subTest(capacity=capacity):
                 self.assertThat({flow.outcome for flow in flows}, Equals({'answered'}))
+
+    def test_no_age_that_a_peer_states_keeps_a_slot_or_a_place_in_the_queue(self) -> None:
+        for age_ms in (-1, -1_000_000, -MAX_INTEGER, MAX_INTEGER):
+            world = SimulatedWorld(2, 1)
+            world.add_route()
+            world.add_servers(1)
+            world.run(2)
+            steering = world.steering_by_ip['10.0.0.2']
+            backend = next(iter(world.server_by_id))
+            flows = [Random(number).randbytes(12) for number in range(20)]
+            rows = tuple(LeaseRow(flow, backend, 'status', age_ms) for flow in flows[:10])
+            requests = tuple(
+                PlacementRequestRow(flow, SERVICE, 'status', age_ms, age_ms, 250, 1, b'')
+                for flow in flows[10:]
+            )
+            steering.handle_message('10.0.0.1', LeaseReport(SERVICE, rows), world.now)
+            steering.handle_message('10.0.0.1', PlacementRequestBatch(requests), world.now)
+            world.run(3)
+            steering.run_timers(world.now)
+            with self.subTest(age_ms=age_ms):
+                self.assertThat(steering.core.assigner.lease_count, Equals(0))
+                self.assertThat(steering.core.assigner.waiting_count, Equals(0))
