Drop a clock bound that a later message of the peer contradicts

What it could do: a heartbeat that answers with a time far in the past made the bound between the two clocks as large as that, for good. From then on every confirmation that the peer passed on counted as made now, so an instance could take an old directory for a fresh one, as in the incident of the old directory. Cause: the tightest bound of all answers was kept, whatever the peer stated. Change: a bound that puts the sending of a later message after its arrival is false, and is dropped; the next answer gives a new one. Evidence: test_no_answer_time_that_a_peer_states_makes_its_old_confirmation_fresh failed before and passes now.

--- a/berylstair/clock_bounds.py
+++ b/berylstair/clock_bounds.py
@@ -8,6 +8,8 @@
 
 # Two clocks may run apart by this share of the time that passes.
 MAX_DRIFT_RATIO = 0.0002
+# Messages state times in whole milliseconds.
+_ROUNDING_S = 0.002
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,24 @@
         if held is None or not is_same_clock or bound.difference_s >= held.at(now):
             self._bound_by_peer[peer] = bound
 
+    def record_message(
+        self, peer: InstanceId, incarnation: int, sent_at: float, now: float
+    ) -> None:
+        """Drops the bound of a peer if it puts the sending of a message after its arrival.
+
+        Such a bound comes from a time that the peer stated and its clock did not show.
+
+        Args:
+            peer: The peer.
+            incarnation: Its incarnation.
+            sent_at: Time of the peer's clock at which it sent the message.
+            now: Current time of the own clock.
+        """
+        bound = self._bound_by_peer.get(peer)
+        is_same_clock = bound is not None and bound.incarnation == incarnation
+        if bound is not None and is_same_clock and sent_at + bound.at(now) > now + _ROUNDING_S:
+            self.forget(peer)
+
     def to_own_time(
         self, peer: InstanceId, incarnation: int, peer_time: float, now: float
     ) -> float | None:
--- a/berylstair/fleet.py
+++ b/berylstair/fleet.py
@@ -336,6 +336,7 @@
         if message.answered_ms > 0:
             sent_at, answered_at = message.answered_ms / MS_PER_S, message.sent_at_ms / MS_PER_S
             bounds.record_round_trip(sender, incarnation, sent_at, answered_at, now)
+        bounds.record_message(sender, incarnation, message.sent_at_ms / MS_PER_S, now)
         if message.position > position or message.confirmed_at_ms <= UNCONFIRMED_MS:
             return
         peer_time = min(message.confirmed_at_ms, message.sent_at_ms) / MS_PER_S
--- a/tests/test_peer_numbers.py
+++ b/tests/test_peer_numbers.py
@@ -5,6 +5,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from berylstair.clock_bounds import ClockBounds
+from berylstair.ids import InstanceId
 from berylstair.steering_message import (
     LeaseReport,
     LeaseRow,
@@ -60,3 +62,16 @@
             with self.subTest(age_ms=age_ms):
                 self.assertThat(steering.core.assigner.lease_count, Equals(0))
                 self.assertThat(steering.core.assigner.waiting_count, Equals(0))
+
+    def test_no_answer_time_that_a_peer_states_makes_its_old_confirmation_fresh(self) -> None:
+        peer = InstanceId('entry-2')
+        for answered_at in (-1e15, 0.0, 499.0):
+            bounds = ClockBounds()
+            bounds.record_round_trip(peer, 1, 10.0, 500.0, 10.1)
+            bounds.record_round_trip(peer, 1, 10.2, answered_at, 10.3)
+            # The peer's clock shows 510 at its next message, and 501 at the confirmation.
+            bounds.record_message(peer, 1, 510.0, 20.1)
+            confirmed_at = bounds.to_own_time(peer, 1, 501.0, 20.1)
+            with self.subTest(answered_at=answered_at):
+                is_old = confirmed_at is None or round(confirmed_at) <= 11
+                self.assertThat(is_old, Equals(True))
