Withdraw a peer's position that the source has not reached

What callers saw: after one message of a peer with a position (era, revision) far ahead of the store's, an instance followed nothing any more until it was started anew: routes and servers stayed as they were, and it passed the position on to all others. Cause: the position was adopted as it came. With a later era every answer of the store counts as one from before a restore and is dropped; with a higher revision the store has no changes after it, and each key that came with it is newer than all that follows. An instance that does not read the store itself took the confirmations of peers at lower positions for confirmations of its own directory, so it never read. Change: a full listing whose call began after the position was held refutes it (the source is linearizable). What came from beyond the source's position is withdrawn and replaced by the listing, and peers' positions from there on are refused until the source itself gets there, for a minute at most. A confirmation whose sender had a lower position at a time when the own one was already held confirms nothing, so the instance reads the source. An answer of an earlier era and status 400 lead to a listing. A claim of a peer that a fetch has met is not fetched again, so a version far ahead does not cause a fetch a heartbeat.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -194,11 +194,13 @@
 
     Attributes:
         position: Position of the source up to which every change was applied.
+        advanced_at: When that position was reached, in seconds.
     """
 
     def __init__(self) -> None:
         """Creates an empty directory at the start position."""
         self.position = START_POSITION
+        self.advanced_at = -math.inf
         self.configuration: Configuration | None = None
         self.routed_services_by_address: dict[Endpoint, set[ServiceName]] = {}
         self._change_by_key: dict[str, SourceChange] = {}
@@ -268,9 +270,30 @@
             self._apply_configuration(change.configuration)
         return True
 
-    def advance(self, position: Position) -> None:
+    def advance(self, position: Position, now: float) -> None:
         """Records that every change up to a position has been applied."""
-        self.position = max(self.position, position)
+        if position > self.position:
+            self.position = position
+            self.advanced_at = now
+
+    def withdraw_after(self, position: Position) -> int:
+        """Goes back to a position that the source has not passed.
+
+        Contents from beyond it stay in use until a full listing of the source is
+        applied, in which any content or absence replaces them.
+
+        Returns:
+            Number of the contents from beyond it.
+        """
+        self.position = min(self.position, position)
+        withdrawn = [
+            change for change in self._change_by_key.values() if change.position > position
+        ]
+        for change in withdrawn:
+            self._change_by_key[change.key] = change._replace(
+                position=START_POSITION, writer_version=WriterVersion(), is_ahead=False
+            )
+        return len(withdrawn)
 
     def keys_absent_from(self, keys: Iterable[str], position: Position) -> list[str]:
         """Returns the keys held here that a complete listing lacks.
--- a/berylstair/directory_reader.py
+++ b/berylstair/directory_reader.py
@@ -12,6 +12,7 @@
 from berylstair.directory_source import (
     DirectorySource,
     HistoryLost,
+    PositionNotReached,
     SourceListing,
     SourceRestored,
 )
@@ -24,6 +25,8 @@
 RETRY_BASE_DELAY_S = 0.15
 RETRY_MAX_DELAY_S = 0.8
 IDLE_POLL_INTERVAL_S = 0.2
+# Failures of a watch after which only a listing can tell what the source holds.
+_LISTING_ERRORS = (HistoryLost, PositionNotReached)
 
 
 class ReadDirectory:
@@ -35,13 +38,15 @@
 
     Attributes:
         is_full_listing: Whether it holds all items.
-        confirmed_at: A time up to which it is complete; None if it may be older
-            than what was known before the call.
+        confirmed_at: A time up to which it is complete.
+        refuted: Position that the directory had before the call, if the source has
+            not reached it.
     """
 
     listing: SourceListing
     is_full_listing: bool
-    confirmed_at: float | None
+    confirmed_at: float
+    refuted: Position | None = None
 
 
 class ReadSink(NamedTuple):
@@ -108,7 +113,7 @@
                 self._read(plan)
                 return
         except Exception as error:  # noqa: BLE001 no answer of the source may end the reader
-            self._needs_listing = self._needs_listing or isinstance(error, HistoryLost)
+            self._needs_listing = self._needs_listing or isinstance(error, _LISTING_ERRORS)
             self._sink.handle_failure(_describe_failure(error))
             self._pause(self._next_retry_delay_s())
             return
@@ -134,8 +139,8 @@
                 return self._watch(plan)
         called_at = self._clock()
         listing = self._source.read_all()
-        is_complete = listing.position >= plan.position
-        return SourceAnswer(listing, True, called_at if is_complete else None)
+        refuted = plan.position if listing.position < plan.position else None
+        return SourceAnswer(listing, True, called_at, refuted)
 
     def _watch(self, plan: ReadPlan) -> SourceAnswer:
         """Watches the source.
--- a/berylstair/directory_source.py
+++ b/berylstair/directory_source.py
@@ -6,7 +6,13 @@
 from berylstair.directory import Position, SourceChange
 from berylstair.errors import SourceError
 
-__all__ = ['DirectorySource', 'HistoryLost', 'SourceListing', 'SourceRestored']
+__all__ = [
+    'DirectorySource',
+    'HistoryLost',
+    'PositionNotReached',
+    'SourceListing',
+    'SourceRestored',
+]
 
 
 class SourceListing(NamedTuple):
@@ -29,6 +35,10 @@
     """The source was restored from a copy since the given position, or between two pages."""
 
 
+class PositionNotReached(SourceError):
+    """The source has not reached the era of the given position; a listing shows where it is."""
+
+
 class DirectorySource(ABC):
     """Read-only source that can be listed and watched."""
 
@@ -48,6 +58,7 @@
         Raises:
             SourceRestored: The position is of an earlier era.
             HistoryLost: The source no longer has the changes; a listing is needed first.
+            PositionNotReached: The position is of an era that the source has not reached.
             SourceError: The source cannot be read now.
         """
 
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -1,5 +1,6 @@
 """Synchronizes the directory with its source and with the peers."""
 
+import math
 from collections.abc import Callable
 
 from berylstair.catalogue import LogEvent
@@ -45,7 +46,13 @@
 # A fault may quote what caused it.
 MAX_FAULT_CHARS = 200
 
+# Time after which a refuted position is believed again. An instance that goes on stating
+# it costs its peers one listing each in this time.
+REFUTED_RETENTION_S = 60.0
+
 ChangeDecoder = Callable[[SourceChange], DecodedChange | None]
+# Position and configuration version that a peer states.
+_Claim = tuple[Position, int]
 
 
 class DirectorySync:
@@ -63,6 +70,11 @@
         self._source_recovered_at = -SOURCE_RECOVERY_GRACE_S
         self._requested_at = -REQUEST_MIN_INTERVAL_S
         self._fetched_era = -1
+        self._refuted_position: Position | None = None
+        self._refuted_at = -math.inf
+        # What each peer stated when its changes were requested, and when they last came.
+        self._claim_by_target: dict[Endpoint, _Claim | None] = {}
+        self._met_claim_by_target: dict[Endpoint, _Claim | None] = {}
 
     def apply_source_changes(
         self, listing: SourceListing, is_full_listing: bool, now: float
@@ -85,8 +97,36 @@
             changes.extend(SourceChange(key, listing.position, None) for key in absent_keys)
         return self._apply_changes(listing.position, changes, READER_FANOUT_PEERS, now)
 
-    def apply_fetched_changes(self, fetched: DirectoryReply, now: float) -> None:
+    def withdraw_refuted(self, refuted: Position, source_position: Position, now: float) -> None:
+        """Withdraws what peers stated beyond the position of the source.
+
+        The source is linearizable, so what it has not reached in an answer to a call
+        that began later was false. A full listing has to be applied next.
+
+        Args:
+            refuted: Position that the directory had before the call.
+            source_position: Position of the source in its answer.
+            now: Current time in seconds.
+        """
+        core = self._core
+        held = core.directory.position
+        if held < refuted:
+            return
+        self._refuted_position = min(refuted, self._refuted_position or refuted)
+        self._refuted_at = now
+        self._fetched_era = min(self._fetched_era, source_position.era)
+        core.counters.record_refusal(ErrorKind.POSITION_REFUTED)
+        core.log(
+            LogEvent.POSITION_REFUTED,
+            f'{source_position} held_revision={held.revision} held_era={held.era} '
+            f'withdrawn={core.directory.withdraw_after(source_position)}',
+        )
+
+    def apply_fetched_changes(self, fetched: DirectoryReply, target: Endpoint, now: float) -> None:
         """Applies changes that were fetched from a peer."""
+        self._met_claim_by_target[target] = self._claim_by_target.pop(target, None)
+        if self._is_refuted(fetched.position, now):
+            return
         self._fetched_era = max(self._fetched_era, fetched.era)
         self._apply_changes(
             fetched.position, decode_change_rows(fetched.rows), self._relay_fanout, now
@@ -97,6 +137,20 @@
         rows = encode_change_rows(self._core.directory.changes_after(position))
         return DirectoryReply(*self._core.directory.position, rows)
 
+    def request_changes_of(self, heartbeat: FleetHeartbeat, target: Endpoint, now: float) -> None:
+        """Fetches the changes that the sender of a heartbeat may hold and that are missing here.
+
+        A claim that was met by a fetch is not fetched again: what the sender holds
+        for it is here, even if that is less than it states.
+        """
+        claim = (heartbeat.position, heartbeat.configuration_version)
+        is_met = self._met_claim_by_target.get(target) == claim
+        if is_met or self._is_refuted(heartbeat.position, now):
+            return
+        if self.may_lack_changes_of(heartbeat):
+            self._claim_by_target[target] = claim
+            self.request_changes(target, now)
+
     def may_lack_changes_of(self, heartbeat: FleetHeartbeat) -> bool:
         """Returns whether the sender of a heartbeat may hold changes that are missing here.
 
@@ -121,7 +175,7 @@
     def handle_update(self, peer: InstanceId, update: DirectoryUpdate, now: float) -> None:
         """Applies changes that a peer sent, or requests the missing ones before them."""
         position = self._core.directory.position
-        if update.position <= position:
+        if update.position <= position or self._is_refuted(update.position, now):
             return
         if update.after <= position:
             self._apply_changes(
@@ -137,6 +191,20 @@
         """Number of peers to whom a change that came from a peer is forwarded."""
         return RELAY_FANOUT_PEERS if self._core.fleet.is_large else 0
 
+    def _is_refuted(self, position: Position, now: float) -> bool:
+        """Returns whether a position is at or beyond one that the source has refuted.
+
+        The refutation ends once the source itself has reached that position.
+        """
+        refuted = self._refuted_position
+        if refuted is None:
+            return False
+        is_over = now - self._refuted_at > REFUTED_RETENTION_S
+        if is_over or self._core.directory.position >= refuted:
+            self._refuted_position = None
+            return False
+        return position >= refuted
+
     def _apply_changes(
         self, position: Position, changes: list[SourceChange], fanout: int, now: float
     ) -> bool:
@@ -158,7 +226,7 @@
             self._apply_change_guarded(change, now)
         if is_restored:
             self._finish_restore(previous, position, now)
-        directory.advance(position)
+        directory.advance(position, now)
         if previous != START_POSITION and directory.position != previous:
             self._propagate_changes(previous, fanout, now)
         return True
--- a/berylstair/errors.py
+++ b/berylstair/errors.py
@@ -48,6 +48,7 @@
     RECORD_UNKNOWN_SCHEMA = 'record_unknown_schema'
     SOURCE_UNAVAILABLE = 'source_unavailable'
     FETCH_FAILED = 'fetch_failed'
+    POSITION_REFUTED = 'position_refuted'
     UNKNOWN_TAG = 'unknown_tag'
     SEND_FAILED = 'send_failed'
     INTERNAL_FAULT = 'internal_fault'
--- a/berylstair/fleet.py
+++ b/berylstair/fleet.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from berylstair.clock_bounds import ClockBounds
-from berylstair.directory import Directory, Position
+from berylstair.directory import Directory
 from berylstair.dispatcher_ranking import DispatcherRanking
 from berylstair.heartbeat import Heartbeat
 from berylstair.ids import Endpoint, InstanceId, ServiceName, ZoneId
@@ -243,14 +243,14 @@
         ]
 
     def apply_heartbeat(
-        self, ip: str, message: FleetHeartbeat, position: Position, now: float
+        self, ip: str, message: FleetHeartbeat, directory: Directory, now: float
     ) -> list[InstanceId]:
         """Applies a heartbeat.
 
         Args:
             ip: IP address of the sender.
             message: The heartbeat.
-            position: Position of the local directory.
+            directory: The local directory.
             now: Current time in seconds.
 
         Returns:
@@ -279,7 +279,7 @@
             (),
             (),
         )
-        self._apply_confirmation(sender, message, position, now)
+        self._apply_confirmation(sender, message, directory, now)
         if self.membership.handle_heartbeat(sender, heartbeat, now) and sender not in new_peers:
             new_peers.append(sender)
         return new_peers
@@ -324,12 +324,14 @@
         return self.own_id in choose_source_readers(eligible)
 
     def _apply_confirmation(
-        self, sender: InstanceId, message: FleetHeartbeat, position: Position, now: float
+        self, sender: InstanceId, message: FleetHeartbeat, directory: Directory, now: float
     ) -> None:
         """Applies a confirmation that a peer passes on, unless its directory is newer.
 
         It counts from the time at which the source was read, however late the
-        message arrives and however many instances have passed it on.
+        message arrives and however many instances have passed it on. If the source
+        had not reached the position held here then, one of the two is false, and the
+        source has to be read here.
         """
         bounds = self._clock_bounds
         incarnation = message.incarnation
@@ -337,11 +339,16 @@
             sent_at, answered_at = message.answered_ms / MS_PER_S, message.sent_at_ms / MS_PER_S
             bounds.record_round_trip(sender, incarnation, sent_at, answered_at, now)
         bounds.record_message(sender, incarnation, message.sent_at_ms / MS_PER_S, now)
-        if message.position > position or message.confirmed_at_ms <= UNCONFIRMED_MS:
+        if message.position > directory.position or message.confirmed_at_ms <= UNCONFIRMED_MS:
             return
         peer_time = min(message.confirmed_at_ms, message.sent_at_ms) / MS_PER_S
         confirmed_at = bounds.to_own_time(sender, incarnation, peer_time, now)
-        if confirmed_at is not None:
+        if confirmed_at is None:
+            return
+        is_contradicted = (
+            message.position < directory.position and confirmed_at > directory.advanced_at
+        )
+        if not is_contradicted:
             self.membership.record_confirmation(confirmed_at, sender)
 
     def _build_heartbeat(
--- a/berylstair/liveness.py
+++ b/berylstair/liveness.py
@@ -102,7 +102,7 @@
             core.fleet.find_endpoint(sender) is not None
             and sender not in core.fleet.membership.reachable
         )
-        new_peers = core.fleet.apply_heartbeat(ip, heartbeat, core.directory.position, now)
+        new_peers = core.fleet.apply_heartbeat(ip, heartbeat, core.directory, now)
         target = core.fleet.find_endpoint(sender)
         if target is None:
             return
@@ -122,8 +122,7 @@
             # A partition may have healed, so other unreachable peers may be back as well.
             self._recovery_probed_at = now
             core.send_heartbeat(core.fleet.unreachable_endpoints(), now, wants_answer=True)
-        if self._sync.may_lack_changes_of(heartbeat):
-            self._sync.request_changes(target, now)
+        self._sync.request_changes_of(heartbeat, target, now)
         self._handle_reachability_change(now)
 
     def handle_peer_lost(self, _peer: InstanceId, message: PeerLost, now: float) -> None:
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -11,6 +11,7 @@
 from berylstair.directory_source import (
     DirectorySource,
     HistoryLost,
+    PositionNotReached,
     SourceListing,
     SourceRestored,
 )
@@ -22,7 +23,8 @@
 
 # Rises by one each time the store is restored from a copy.
 _ERA_HEADER = 'Store-Era'
-_HTTP_GONE = 410
+# The history after a revision is gone, or the store does not take the revision.
+_POSITION_STATUSES = frozenset((400, 410))
 _HTTP_OK = 200
 _MS_PER_S = 1000
 # The store answers within milliseconds; more than half a second means a fault.
@@ -117,6 +119,7 @@
         Raises:
             SourceRestored: The position is of an earlier era.
             HistoryLost: The store no longer has all changes after the position.
+            PositionNotReached: The position is of a later era than the store's.
             SourceError: The store cannot be read now.
         """
         query = {'prefix': '', 'after': after.revision, 'wait_ms': int(wait_s * _MS_PER_S)}
@@ -148,6 +151,7 @@
         Raises:
             SourceRestored: The answer is of a later era than the one given.
             HistoryLost: The store no longer has the changes that were asked for.
+            PositionNotReached: The answer is of an earlier era than the one given.
             SourceError: The store did not answer, or not in its own format.
         """
         try:
@@ -169,10 +173,10 @@
         if known_era is not None and era > known_era:
             raise SourceRestored(f'restored: era {era}, {known_era} before')
         if known_era is not None and era < known_era:
-            raise SourceError(f'answer of era {era}, expected {known_era}')
-        if response.status == _HTTP_GONE:
+            raise PositionNotReached(f'answer of era {era}, expected {known_era}')
+        if response.status in _POSITION_STATUSES:
             raise HistoryLost(
-                'HTTP status 410: the store no longer has the changes after the revision'
+                f'HTTP status {response.status}: the store has no changes after the revision'
             )
         if response.status != _HTTP_OK:
             raise SourceError(f'expected HTTP status 200, got {response.status}')
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -12,7 +12,7 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.counter import Traffic
-from berylstair.directory import ServerRegistration
+from berylstair.directory import Position, ServerRegistration
 from berylstair.directory_source import SourceListing
 from berylstair.directory_sync import ChangeDecoder, DirectorySync
 from berylstair.errors import ErrorKind
@@ -172,10 +172,12 @@
         is_full_listing: bool,
         now: float,
         confirmed_at: float | None,
+        refuted: Position | None = None,
     ) -> None:
         """Applies what was read from the source.
 
-        An answer from before the last known restore of the source is dropped.
+        An answer from before the last known restore of the source is dropped,
+        unless it refutes that restore.
 
         Args:
             listing: What was read.
@@ -183,7 +185,11 @@
             now: Current time in seconds.
             confirmed_at: A time up to which the listing is complete; None if it
                 may be older than what was known before.
+            refuted: Position that was held before the call, if the source has not
+                reached it; only with a full listing.
         """
+        if refuted is not None:
+            self.directory_sync.withdraw_refuted(refuted, listing.position, now)
         is_applied = self.directory_sync.apply_source_changes(listing, is_full_listing, now)
         if is_applied and confirmed_at is not None:
             self._liveness.confirm_source(confirmed_at, now)
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -86,8 +86,8 @@
         applied = Event()
 
         def apply(now: float) -> None:
-            listing, is_full_listing, confirmed_at = answer
-            self._steering.handle_listing(listing, is_full_listing, now, confirmed_at)
+            listing, is_full_listing, confirmed_at, refuted = answer
+            self._steering.handle_listing(listing, is_full_listing, now, confirmed_at, refuted)
             if self._is_source_lost:
                 self._is_source_lost = False
                 self._log.write(LogEvent.SOURCE_BACK, str(listing.position))
@@ -232,7 +232,8 @@
             f'peer={action.target} after={action.after.revision} after_era={action.after.era} '
             f'revision={reply.revision} era={reply.era}',
         )
-        self._run_work(lambda now: self._steering.directory_sync.apply_fetched_changes(reply, now))
+        sync = self._steering.directory_sync
+        self._run_work(lambda now: sync.apply_fetched_changes(reply, action.target, now))
 
     def _ready_page(self) -> tuple[HTTPStatus, str]:
         if self._steering.is_ready:
--- a/emulator/simulated_reader.py
+++ b/emulator/simulated_reader.py
@@ -30,6 +30,7 @@
         self._world = world
         self._ip = ip
         self._schedule = ReadSchedule(world.steering_by_ip[ip].core)
+        self._needs_listing = False
         self._continue_after(0, self._poll)
 
     def _continue_after(self, delay_s: float, step: Callable[[], None]) -> None:
@@ -48,11 +49,16 @@
             return
         called_at = self._world.now_at(self._ip)
         wait_until = self._world.now + delay_s + plan.wait_s
-        self._world.schedule(delay_s, lambda: self._wait(plan, called_at, wait_until))
+        read = self._list if self._needs_listing else self._wait
+        self._world.schedule(delay_s, lambda: read(plan, called_at, wait_until))
 
     def _wait(self, plan: ReadPlan, called_at: float, wait_until: float) -> None:
-        """Waits at the store for a change."""
+        """Waits at the store for a change; it cannot wait from a position that it never had."""
         world = self._world
+        if plan.position > world.source_position:
+            self._needs_listing = True
+            self._continue_after(RETRY_DELAY_S, self._poll)
+            return
         events = world.events_after(plan.position)
         if not events and world.now < wait_until:
             next_check_s = min(WATCH_CHECK_INTERVAL_S, max(wait_until - world.now, 0.0001))
@@ -63,6 +69,19 @@
         delay_s = STORE_DELAY_S + world.delay_by_ip[self._ip]
         self._continue_after(delay_s, lambda: self._take(listing, confirmed_at))
 
+    def _list(self, plan: ReadPlan, called_at: float, _wait_until: float) -> None:
+        """Lists the store."""
+        world = self._world
+        self._needs_listing = False
+        listing = SourceListing(world.source_position, tuple(world.source_items.values()))
+        refuted = plan.position if plan.position > listing.position else None
+
+        def take() -> None:
+            world.deliver_listing(self._ip, listing, True, called_at, refuted)
+            self._poll()
+
+        self._continue_after(STORE_DELAY_S + world.delay_by_ip[self._ip], take)
+
     def _take(self, listing: SourceListing, confirmed_at: float) -> None:
         self._world.deliver_listing(self._ip, listing, False, confirmed_at)
         self._poll()
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -394,6 +394,7 @@
         listing: SourceListing,
         is_full_listing: bool = False,
         confirmed_at: float | None = None,
+        refuted: Position | None = None,
     ) -> None:
         """Delivers an answer of the store to an instance.
 
@@ -403,12 +404,14 @@
             is_full_listing: Whether it holds all items.
             confirmed_at: Time on the instance's clock up to which the answer is
                 complete, now if not given.
+            refuted: Position that the instance held before the call, if the store
+                has not reached it.
         """
         if ip not in self.down_ips:
             steering = self.steering_by_ip[ip]
             now = self.now_at(ip)
             as_of = now if confirmed_at is None else confirmed_at
-            steering.handle_listing(listing, is_full_listing, now, as_of)
+            steering.handle_listing(listing, is_full_listing, now, as_of, refuted)
             self._perform_actions(ip, steering)
 
     def _decode_change(self, source: SourceChange) -> DecodedChange | None:
@@ -493,7 +496,9 @@
         if target in self.down_ips or is_frozen or (ip, target) in self.blocked_links:
             return
         reply = self.steering_by_ip[target].directory_sync.encode_changes_after(fetch.after)
-        self.steering_by_ip[ip].directory_sync.apply_fetched_changes(reply, self.now_at(ip))
+        self.steering_by_ip[ip].directory_sync.apply_fetched_changes(
+            reply, fetch.target, self.now_at(ip)
+        )
         self._perform_actions(ip, self.steering_by_ip[ip])
 
     def _instances_in_rotation(self, zone: ZoneId) -> list[str]:
--- a/tests/test_directory_reader.py
+++ b/tests/test_directory_reader.py
@@ -19,6 +19,7 @@
 from berylstair.directory_source import (
     DirectorySource,
     HistoryLost,
+    PositionNotReached,
     SourceListing,
     SourceRestored,
 )
@@ -30,6 +31,7 @@
 FAILURE_COUNT = 8
 DIRECTORY_POSITION = Position(1, 5)
 LISTING = SourceListing(Position(2, 4), ())
+DEFAULT_PLAN = ReadPlan(True, DIRECTORY_POSITION)
 
 
 class FailingSource(DirectorySource):
@@ -70,7 +72,10 @@
     """Every kind of failure is reported, and followed by a bounded pause and another read."""
 
     def read_until_listed(
-        self, *errors: Exception | None, answers: int = 1
+        self,
+        *errors: Exception | None,
+        answers: int = 1,
+        plan: ReadPlan = DEFAULT_PLAN,
     ) -> tuple[FailingSource, list[float], list[str]]:
         """Runs a reader until it has a number of answers.
 
@@ -78,13 +83,15 @@
             The source, the pauses and the failures.
         """
         source = FailingSource(chain(errors, repeat(None)))
+        self.answers: list[SourceAnswer] = []
         answers_left = iter(range(answers - 1, -1, -1))
         pauses_s: list[float] = []
         failures: list[str] = []
         listed = Event()
         stopped = Event()
 
-        def count_answer(_answer: SourceAnswer) -> bool:
+        def count_answer(answer: SourceAnswer) -> bool:
+            self.answers.append(answer)
             if next(answers_left) == 0:
                 listed.set()
             return True
@@ -97,7 +104,7 @@
 
         reader = DirectoryReader.start(
             source,
-            lambda: ReadPlan(not listed.is_set(), DIRECTORY_POSITION),
+            lambda: plan._replace(is_due=not listed.is_set()),
             ReadSink(count_answer, failures.append),
             Random(1),
             pause,
@@ -127,6 +134,22 @@
         source, _, _ = self.read_until_listed(HistoryLost('gone'), SourceError('down'))
         self.assertThat(source.calls, Equals(['watch', 'read_all', 'read_all']))
 
+    def test_a_position_that_the_source_never_had_is_followed_by_a_listing_that_refutes_it(
+        self,
+    ) -> None:
+        for error in (HistoryLost('ahead'), PositionNotReached('era 0')):
+            with self.subTest(error=error):
+                plan = ReadPlan(True, Position(LISTING.position.era, LISTING.position.revision + 1))
+                source, _, _ = self.read_until_listed(error, plan=plan)
+                self.assertThat(source.calls, Equals(['watch', 'read_all']))
+                self.assertThat(self.answers[0].refuted, Equals(plan.position))
+
+    def test_a_listing_of_the_directorys_position_refutes_nothing(self) -> None:
+        for position in (LISTING.position, DIRECTORY_POSITION):
+            with self.subTest(position=position):
+                self.read_until_listed(HistoryLost('gone'), plan=ReadPlan(True, position))
+                self.assertThat(self.answers[0].refuted, Equals(None))
+
     def test_the_first_watch_after_a_failure_is_answered_at_once(self) -> None:
         source, _, _ = self.read_until_listed(SourceError('down'), answers=2)
         waits_s = [wait_s for _, wait_s in source.watches]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -86,7 +86,9 @@
         reply = reader.directory_sync.encode_changes_after(Position(0, 0))
         encoded = STEERING_CODEC.encode(reply)
         self.assertThat(len(encoded) < MAX_MESSAGE_BYTES // 100, Equals(True))
-        peer.directory_sync.apply_fetched_changes(STEERING_CODEC.decode(encoded), NOW)
+        peer.directory_sync.apply_fetched_changes(
+            STEERING_CODEC.decode(encoded), Endpoint('10.0.0.1', 7000), NOW
+        )
         for instance in (reader, peer):
             directory = instance.core.directory
             self.assertThat(directory.position, Equals(Position(ERA, 3)))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -108,6 +108,10 @@
         self.store.restore(copy)
         self.assertRaises(SourceRestored, self.source.watch, Position(1, lost), 0)
 
+    def test_a_revision_that_the_store_does_not_take_needs_a_listing(self) -> None:
+        with mock.patch.object(self.store, 'handle_request', return_value=(400, {})):
+            self.assertRaises(HistoryLost, self.source.watch, Position(1, 1 << 62), 0)
+
     def test_an_answer_of_an_earlier_era_raises_source_error(self) -> None:
         revision = self.store.put('a', 'x')
         error = self.assertRaises(SourceError, self.source.watch, Position(2, revision), 0)
