Correct the tags of servers that were offered an open flow in vain

Callers saw: an open flow reset at the first request after a pause, by a server that never held it, when an instance had been restarted as planned, had joined or had been paused meanwhile. Cause: a server that was offered a flow in vain goes on answering the opening segment for some nine seconds, and each answer leaves its own tag with the caller. Only the memory of the instance that had made the offers told which server holds the flow. Change: once the flow's server is known, the other servers get copies of the opening segment with that server's tag. What they answer from then on leaves the right tag with the caller, so no memory is needed, whatever instance has the next segment. Copies go along with the caller's own segments, four a server at most, and two at most go without, since three segments at other servers and none at its own count as a moved flow. Releases name the tag of the flow's server; the dispatching instance passes them on to every instance that may have offered the flow, and gives a flow that another instance opens again the same server. An opening segment is not offered once its caller has sent the next one. Why not otherwise: the echo is the only field that the system may write, so the servers' own packets are the only memory that outlives every instance.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -17,6 +17,7 @@
 from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
 from berylstair.server_selection import ServerCandidate, choose_server
+from berylstair.tag import tag_of
 from berylstair.wait_queue import PlacementRequest, WaitQueue
 
 __all__ = ['FRESH_FLOW_MAX_AGE_S', 'Assigner', 'PlacementDecision', 'PlacementResult']
@@ -133,12 +134,23 @@
         return PlacementResult(request, PlacementDecision.WAITING)
 
     def release(
-        self, service: ServiceName, flow: FlowKey, outcome: Outcome, now: float
+        self, service: ServiceName, flow: FlowKey, outcome: Outcome, now: float, tag: int = 0
     ) -> Lease | None:
-        """Releases a flow's lease, if it has one, and ends its wait."""
+        """Releases a flow's lease, if it has one, and ends its wait.
+
+        Args:
+            service: Service of the flow.
+            flow: The flow.
+            outcome: How its work ended.
+            now: Current time in seconds.
+            tag: Tag of the server at which the flow is open, 0 if not known.
+
+        Returns:
+            The lease, None if the flow had none.
+        """
         state = self._service_state(service)
         state.wait_queue.remove(flow)
-        return state.lease_table.release(flow, outcome, now)
+        return state.lease_table.release(flow, outcome, now, tag)
 
     def add_lease(self, service: ServiceName, lease: Lease, now: float) -> None:
         """Counts a lease that another instance granted."""
@@ -224,13 +236,17 @@
 
         A server that left the opening segment unanswered is kept while it
         answers other flows: the flow may be open there, with its segments
-        going through another instance.
+        going through another instance. For the same reason another holder gets
+        the server that the flow was placed on for the one before.
         """
+        opened = self._find_opened(state, candidates, request)
+        if opened is not None:
+            return opened
         if request.flow in state.wait_queue.request_by_flow:
             state.wait_queue.add(request, now)
             return PlacementResult(request, PlacementDecision.WAITING)
         lease = state.lease_table.lease_by_flow.get(request.flow)
-        if lease is None or lease.holder != request.holder:
+        if lease is None:
             return None
         is_excluded = lease.backend in request.constraints.excluded
         if is_excluded and not state.lease_table.has_answered_since(lease):
@@ -239,6 +255,9 @@
                 request.flow, Outcome.SILENT if is_fresh else Outcome.ENDED, now
             )
             return None
+        if lease.holder != request.holder:
+            lease.former_holders = (*lease.former_holders, lease.holder)
+            lease.holder = request.holder
         for candidate in candidates:
             if candidate.server.id == lease.backend:
                 lease_count = state.lease_table.lease_count(lease.backend)
@@ -247,6 +266,24 @@
                 )
         return None
 
+    def _find_opened(
+        self,
+        state: _ServiceState,
+        candidates: list[ServerCandidate],
+        request: PlacementRequest,
+    ) -> PlacementResult | None:
+        """Returns the server at which a released flow is open, whose opening came late."""
+        tag = state.lease_table.tag_of_released(request.flow)
+        if not tag:
+            return None
+        for candidate in candidates:
+            if tag_of(candidate.server.id) == tag:
+                lease_count = candidate.state.lease_count
+                return PlacementResult(
+                    request, PlacementDecision.PLACED, candidate.server, lease_count
+                )
+        return None
+
     def _grant_lease(
         self,
         state: _ServiceState,
--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -20,6 +20,7 @@
     ASK_UNANSWERED = 'ask_unanswered'
     OFFER_UNANSWERED = 'offer_unanswered'
     RESET_REPEATED = 'reset_repeated'
+    TAG_CORRECTED = 'tag_corrected'
 
 
 @unique
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -30,9 +30,10 @@
     ReleaseRow,
 )
 from berylstair.tag import pack_tags, tag_of
+from berylstair.tag_correction import TagCorrector
 from berylstair.wait_queue import PlacementRequest
 
-__all__ = ['FlowOpener']
+__all__ = ['FlowOpener', 'superseded_after_s']
 
 # The dispatching instance answers within a round trip between zones, a few milliseconds,
 # plus the wait for its share of a busy processor, which is allotted per tenth of a second.
@@ -45,10 +46,15 @@
 MAX_OFFERS = 3
 # Seconds after its first opening segment at which a caller sends it and its retransmissions.
 _OPENING_SENT_AFTER_S = (0.0, 0.2, 0.6)
+# Seconds from each of them to the next one, or to the end of the attempt.
+_SUPERSEDED_AFTER_S = (0.2, 0.4, 0.8)
 # Longest delay of a retransmission in transit.
 RETRANSMISSION_GRACE_S = 0.06
 MS_PER_S = 1000
 _SEQUENCE_BYTES = 4
+# With at most this many reachable instances, all of them are told of a flow that others may
+# have offered too; in a larger fleet the dispatching instance tells the flow's holders.
+MAX_RELEASE_BROADCAST_PEERS = 32
 
 
 class FlowOpener:
@@ -57,6 +63,7 @@
     def __init__(self, core: SteeringCore) -> None:
         """Creates an opener that works on the state of a steering core."""
         self._core = core
+        self._tag_corrector = TagCorrector(core)
         self._retransmission_handler_by_phase: dict[
             FlowPhase, Callable[[TrackedFlow, Segment, float], None]
         ] = {
@@ -67,14 +74,21 @@
             FlowPhase.OVER: self._handle_late_retransmission,
         }
 
-    def handle_opening_segment(self, segment: Segment, now: float) -> None:
-        """Handles an opening segment or a retransmission of one."""
+    def handle_opening_segment(self, segment: Segment, now: float, waited_s: float) -> None:
+        """Handles an opening segment or a retransmission of one.
+
+        Args:
+            segment: The segment; its caller has not sent another one since.
+            now: Current time in seconds.
+            waited_s: Seconds since its arrival.
+        """
         flow = self._core.flows.get(segment.flow)
         if flow is None or _is_different_flow(flow, segment):
-            self._open_flow(segment, now)
+            self._open_flow(segment, now, waited_s)
             return
         flow.last_segment_at = now
         flow.retransmission_count = max(flow.retransmission_count, segment.acknowledged)
+        flow.superseded_at = now - waited_s + superseded_after_s(segment)
         if flow.opening_segment is None:
             flow.opening_segment = segment
         self._retransmission_handler_by_phase[flow.phase](flow, segment, now)
@@ -119,13 +133,62 @@
         self.handle_decision(flow, placement.decision, placement.server, detail, now)
 
     def report_flow_end(self, flow: TrackedFlow, outcome: Outcome, now: float) -> None:
-        """Reports the end of a flow's work to the instances that count its lease."""
+        """Reports the end of a flow's work to the instances that count its lease.
+
+        If the flow is open at a known server, the instances that may have offered it to
+        another one are told as well.
+        """
         core = self._core
-        own_id = core.fleet.own_id
-        dispatcher = core.fleet.find_dispatcher(flow.service, now)
-        core.assigner.release(flow.service, flow.key, outcome, now)
-        for peer in {dispatcher, flow.dispatcher} - {own_id}:
-            core.add_row(ReleaseBatch, peer, ReleaseRow(flow.key, flow.service, outcome))
+        tag = flow.tag if flow.is_server_confirmed else 0
+        lease = core.assigner.release(flow.service, flow.key, outcome, now, tag)
+        peers = {core.fleet.find_dispatcher(flow.service, now), flow.dispatcher}
+        if lease is not None and tag:
+            peers |= lease.all_holders()
+        row = ReleaseRow(flow.key, flow.service, outcome, tag)
+        for peer in peers - {core.fleet.own_id}:
+            core.add_row(ReleaseBatch, peer, row)
+
+    def tell_other_holders(self, flow: TrackedFlow) -> None:
+        """Tells the reachable instances of a small fleet at which server a flow is open.
+
+        Some of them may have offered the flow to another server. In a larger fleet
+        the dispatching instance knows which ones.
+        """
+        reachable = self._core.fleet.membership.reachable
+        if len(reachable) > MAX_RELEASE_BROADCAST_PEERS:
+            return
+        row = ReleaseRow(flow.key, flow.service, Outcome.ENDED, flow.tag)
+        for peer in reachable:
+            self._core.add_row(ReleaseBatch, peer, row)
+
+    def handle_server_known(self, flow: TrackedFlow, now: float) -> None:
+        """Begins to correct the tags of servers that were offered an open flow in vain."""
+        self._tag_corrector.start(flow, now)
+
+    def handle_caller_segment(self, flow: TrackedFlow, segment: Segment) -> None:
+        """Goes on with the corrections while the caller uses the flow."""
+        if flow.copies_left and not segment.is_closing:
+            self._tag_corrector.send_copies(flow)
+
+    def handle_release(self, flow: TrackedFlow, tag: int, now: float) -> None:
+        """Handles the news that a flow of this instance has ended or continues elsewhere.
+
+        Args:
+            flow: The flow.
+            tag: Tag of the server at which it is open, 0 if not known.
+            now: Current time in seconds.
+        """
+        if tag or flow.phase in {FlowPhase.OFFERED, FlowPhase.OPEN}:
+            flow.phase = FlowPhase.OVER
+        if not tag or flow.is_server_confirmed:
+            return
+        registration = self._core.directory.find_by_tag(tag, flow.address)
+        if registration is not None:
+            flow.server = registration.server
+            flow.tag = tag
+            flow.is_server_confirmed = True
+            self._tag_corrector.start(flow, now)
+            self._tag_corrector.send_copies(flow)
 
     def place_locally(self, flow: TrackedFlow, now: float) -> None:
         """Places a flow without asking the dispatching instance."""
@@ -135,12 +198,18 @@
         self._core.counters.record_traffic(Traffic.DUPLICATES_ABSORBED)
 
     def _handle_late_retransmission(self, flow: TrackedFlow, segment: Segment, now: float) -> None:
-        """Repeats the reset of a refused flow, whose caller has not received the first one."""
+        """Repeats the reset of a refused flow, whose caller has not received the first one.
+
+        A flow that was given up before any offer begins anew: the opening segment that
+        should have come before this one was lost.
+        """
         if flow.has_sent_reset:
             self._core.counters.record_retry(RetryReason.RESET_REPEATED)
             self._reset_caller(flow)
-        else:
+        elif flow.offered or flow.is_server_confirmed:
             self._drop_retransmission(flow, segment, now)
+        else:
+            self._open_flow(segment, now, 0)
 
     def _renew_placement_request(self, flow: TrackedFlow, _segment: Segment, now: float) -> None:
         """Tells the dispatching instance that the caller still waits."""
@@ -158,11 +227,11 @@
         if flow.server is not None:
             self._core.actions.append(SendSegment(flow.server, segment, flow.tag))
 
-    def _open_flow(self, segment: Segment, now: float) -> None:
+    def _open_flow(self, segment: Segment, now: float, waited_s: float) -> None:
         core = self._core
         route = core.directory.find_route(segment.address)
-        retransmission_count = min(segment.acknowledged, len(_OPENING_SENT_AFTER_S) - 1)
-        arrived_at = now - _OPENING_SENT_AFTER_S[retransmission_count]
+        retransmission_count = _count_copies(segment)
+        arrived_at = now - waited_s - _OPENING_SENT_AFTER_S[retransmission_count]
         service = _choose_service(route, segment) if route else ServiceName('')
         flow = TrackedFlow(
             segment.flow, route, service, segment, arrived_at, now, core.fleet.own_id
@@ -171,6 +240,8 @@
             core.counters.record_refusal(ErrorKind.VIEW_EXPIRED)
             return
         flow.retransmission_count = retransmission_count
+        flow.is_known_elsewhere = retransmission_count > 0
+        flow.superseded_at = now - waited_s + superseded_after_s(segment)
         core.flows.add(flow)
         if route is None:
             self._refuse(flow, ErrorKind.NO_SUCH_SERVICE, f'address={segment.address}', now)
@@ -251,7 +322,15 @@
         core = self._core
         if flow.opening_segment is None:
             return
+        if now > flow.superseded_at + RETRANSMISSION_GRACE_S:
+            # The caller has sent its segment again, through another instance, or has given up.
+            flow.phase = FlowPhase.OVER
+            core.counters.record_refusal(ErrorKind.LATE_WAKE)
+            self.report_flow_end(flow, Outcome.ENDED, now)
+            return
         flow.phase = FlowPhase.OFFERED
+        if all(offered.id != server.id for offered in flow.offered):
+            flow.offered = (*flow.offered, server)
         flow.server = server
         flow.tag = tag_of(server.id)
         flow.offered_at = now
@@ -313,6 +392,15 @@
             self._core.actions.append(ResetCaller(flow.opening_segment, sequence))
 
 
+def superseded_after_s(opening: Segment) -> float:
+    """Returns how long after an opening segment its caller sends the next one or gives up."""
+    return _SUPERSEDED_AFTER_S[_count_copies(opening)]
+
+
+def _count_copies(opening: Segment) -> int:
+    return min(opening.acknowledged, len(_OPENING_SENT_AFTER_S) - 1)
+
+
 def _has_caller_given_up(flow: TrackedFlow, now: float) -> bool:
     """Returns whether a retransmission that the caller should have sent is missing."""
     age_s = now - flow.arrived_at - RETRANSMISSION_GRACE_S
--- a/berylstair/flowtrack.py
+++ b/berylstair/flowtrack.py
@@ -5,14 +5,15 @@
 that two servers answered.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
 
 from berylstair.directory import Route
-from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName
+from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName
 from berylstair.record import BackendServer
-from berylstair.segment import SEQUENCE_SPACE, Segment
+from berylstair.segment import SEQUENCE_SPACE, Segment, service_address
 
 __all__ = ['FlowPhase', 'TrackedFlow', 'TrackedFlowTable']
 
@@ -53,6 +54,11 @@
         retransmission_count: Number of retransmissions of the opening segment
             by the caller.
         excluded: Servers that did not answer an opening segment.
+        offered: Servers that the flow was offered to.
+        superseded_at: When the caller sends its next opening segment or gives up.
+        is_known_elsewhere: Whether another instance may have offered the flow too.
+        copies_left: Copies of the opening segment that still correct the tags of
+            servers that were offered the flow in vain.
         has_sent_reset: Whether a reset was sent to the caller; it may be lost.
         initial_acknowledged: Acknowledgement number of the segment that
             confirmed the server.
@@ -75,14 +81,31 @@
     has_waited: bool = False
     retransmission_count: int = 0
     excluded: tuple[BackendId, ...] = ()
+    offered: tuple[BackendServer, ...] = ()
+    superseded_at: float = math.inf
+    is_known_elsewhere: bool = False
+    copies_left: int = 0
     initial_acknowledged: int = 0
     has_sent_reset: bool = False
 
+    @property
+    def address(self) -> Endpoint:
+        """Service address and port that the caller uses."""
+        return service_address(self.key)
+
     @property
     def route_name(self) -> str:
         """Name of the route, which stands for the kind of work; empty if unknown."""
         return self.route.name if self.route else ''
 
+    @property
+    def servers_offered_in_vain(self) -> list[BackendServer]:
+        """Servers that the flow was offered to and that do not hold it; empty if not known."""
+        if not self.is_server_confirmed or self.server is None:
+            return []
+        own_id = self.server.id
+        return [server for server in self.offered if server.id != own_id]
+
     def is_answered_by(self, segment: Segment) -> bool:
         """Returns whether a segment shows that the caller has received part of the response."""
         acknowledged_bytes = (segment.acknowledged - self.initial_acknowledged) % SEQUENCE_SPACE
@@ -130,8 +153,8 @@
 def _retention_s(flow: TrackedFlow, idle_s: float) -> float:
     """Returns how long a flow is kept.
 
-    A flow that was offered to several servers may have taken over the tag of one
-    that does not hold it, so its server is known only here.
+    A flow that was offered to several servers is kept longer: its caller has the tag of
+    one that does not hold it if all copies that were to correct the tag were lost.
     """
-    is_tag_enough = flow.phase is FlowPhase.OVER and not flow.excluded
+    is_tag_enough = flow.phase is FlowPhase.OVER and len(flow.offered) <= 1
     return ENDED_FLOW_RETENTION_S if is_tag_enough else idle_s
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum, unique
+from typing import NamedTuple
 
 from berylstair.durations import Durations
 from berylstair.ids import BackendId, FlowKey, InstanceId
@@ -69,6 +70,8 @@
     Attributes:
         route_name: Name of the flow's route; work times are averaged per route.
         holder: Instance that opened the flow.
+        former_holders: Instances that requested a placement of the flow earlier, and
+            may have offered it to a server.
         is_queued: Whether the flow started in the server's queue, so that
             its duration does not measure the work time.
     """
@@ -80,6 +83,24 @@
     started_at: float
     expires_at: float = math.inf
     is_queued: bool = False
+    former_holders: tuple[InstanceId, ...] = ()
+
+    def all_holders(self) -> set[InstanceId]:
+        """Returns the instances that may have offered the flow to a server."""
+        return {self.holder, *self.former_holders}
+
+
+class _ReleasedFlow(NamedTuple):
+    """A flow whose lease was released.
+
+    Attributes:
+        tag: Tag of the server at which it is open, 0 if not known.
+        holders: Instances that may have offered it to a server.
+    """
+
+    released_at: float
+    tag: int
+    holders: set[InstanceId]
 
 
 @dataclass(slots=True)
@@ -130,7 +151,7 @@
     lease_by_flow: dict[FlowKey, Lease] = field(default_factory=dict)
     _state_by_backend: dict[BackendId, ServerState] = field(default_factory=dict)
     _durations_by_route: dict[str, Durations] = field(default_factory=dict)
-    _released_at_by_flow: dict[FlowKey, float] = field(default_factory=dict)
+    _released_by_flow: dict[FlowKey, _ReleasedFlow] = field(default_factory=dict)
 
     def lease_count(self, backend: BackendId) -> int:
         """Returns the number of leases on a server."""
@@ -151,8 +172,12 @@
 
     def add(self, lease: Lease, now: float) -> None:
         """Adds a lease in place of an earlier one of the same flow."""
-        self._remove(lease.flow)
-        self._released_at_by_flow.pop(lease.flow, None)
+        previous = self._remove(lease.flow)
+        released = self._released_by_flow.pop(lease.flow, None)
+        holders = previous.all_holders() if previous else set()
+        if released is not None:
+            holders |= released.holders
+        lease.former_holders = tuple(sorted(holders - {lease.holder}))
         lease.expires_at = self._expiry_time(lease)
         self.lease_by_flow[lease.flow] = lease
         state = self.server_state(lease.backend)
@@ -161,19 +186,29 @@
         if state.is_suspect(now):
             self._start_avoidance(state, now)
 
-    def release(self, flow: FlowKey, outcome: Outcome, now: float) -> Lease | None:
+    def tag_of_released(self, flow: FlowKey) -> int:
+        """Returns the tag of the server at which a released flow is open, 0 if not known."""
+        released = self._released_by_flow.get(flow)
+        return released.tag if released else 0
+
+    def release(self, flow: FlowKey, outcome: Outcome, now: float, tag: int = 0) -> Lease | None:
         """Ends a lease and updates the server's health from its outcome.
 
         Args:
             flow: The flow.
             outcome: How its work ended.
             now: Current time in seconds.
+            tag: Tag of the server at which the flow is open, 0 if not known.
 
         Returns:
             The lease, None if the flow had none.
         """
-        self._released_at_by_flow[flow] = now
         lease = self._remove(flow)
+        previous = self._released_by_flow.get(flow)
+        if previous is not None:
+            tag = tag or previous.tag
+        holders = lease.all_holders() if lease else set()
+        self._released_by_flow[flow] = _ReleasedFlow(now, tag, holders)
         if lease is None:
             return None
         if outcome is Outcome.DONE:
@@ -214,9 +249,9 @@
         for flow, lease in reported.items():
             known = self.lease_by_flow.get(flow)
             is_moved = known is not None and known.backend != lease.backend
-            if (known is None or is_moved) and flow not in self._released_at_by_flow:
+            if (known is None or is_moved) and flow not in self._released_by_flow:
                 self.add(lease, now)
-        return [flow for flow in reported if flow in self._released_at_by_flow]
+        return [flow for flow in reported if flow in self._released_by_flow]
 
     def shorten_leases(self, holder: InstanceId, expires_at: float) -> None:
         """Makes the leases of a lost instance expire at ``expires_at`` at the latest."""
@@ -260,10 +295,10 @@
     def prune_released(self, now: float) -> None:
         """Drops released flows that are past their retention time."""
         cutoff = now - RELEASED_RETENTION_S
-        self._released_at_by_flow = {
-            flow: released_at
-            for flow, released_at in self._released_at_by_flow.items()
-            if released_at > cutoff
+        self._released_by_flow = {
+            flow: released
+            for flow, released in self._released_by_flow.items()
+            if released.released_at > cutoff
         }
 
     def _expiry_time(self, lease: Lease) -> float:
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -178,18 +178,15 @@
         for row in batch.rows:
             service = ServiceName(row.service)
             key = FlowKey(row.flow)
-            self._mark_flow_over(key)
-            lease = core.assigner.release(service, key, row.outcome, now)
-            if lease is not None and lease.holder not in {peer, core.fleet.own_id}:
-                core.add_row(ReleaseBatch, lease.holder, row)
+            flow = core.flows.get(key)
+            if flow is not None:
+                self._flow_opener.handle_release(flow, row.tag, now)
+            lease = core.assigner.release(service, key, row.outcome, now, row.tag)
+            if lease is not None:
+                for holder in lease.all_holders() - {peer, core.fleet.own_id}:
+                    core.add_row(ReleaseBatch, holder, row)
         self.place_waiting_flows(now)
 
-    def _mark_flow_over(self, key: FlowKey) -> None:
-        """Marks a flow held here as over, because it continues or has ended at another instance."""
-        flow = self._core.flows.get(key)
-        if flow is not None and flow.phase in {FlowPhase.OFFERED, FlowPhase.OPEN}:
-            flow.phase = FlowPhase.OVER
-
     def _handle_lease_report(self, peer: InstanceId, report: LeaseReport, now: float) -> None:
         leases = [
             self._make_lease(
--- a/berylstair/segment.py
+++ b/berylstair/segment.py
@@ -5,7 +5,7 @@
 
 from berylstair.ids import Endpoint, FlowKey
 
-__all__ = ['SEQUENCE_SPACE', 'Segment']
+__all__ = ['SEQUENCE_SPACE', 'Segment', 'service_address']
 
 SEQUENCE_SPACE = 1 << 32
 _CALLER_IP = slice(0, 4)
@@ -48,5 +48,9 @@
     @property
     def address(self) -> Endpoint:
         """Service address and port that the caller uses."""
-        port = int.from_bytes(self.flow[_SERVICE_PORT], 'big')
-        return Endpoint(inet_ntoa(self.flow[_SERVICE_IP]), port)
+        return service_address(self.flow)
+
+
+def service_address(flow: FlowKey) -> Endpoint:
+    """Returns the service address and port of a flow."""
+    return Endpoint(inet_ntoa(flow[_SERVICE_IP]), int.from_bytes(flow[_SERVICE_PORT], 'big'))
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -17,7 +17,7 @@
 from berylstair.directory_sync import ChangeDecoder, DirectorySync
 from berylstair.errors import ErrorKind
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
-from berylstair.flow_opener import FlowOpener
+from berylstair.flow_opener import FlowOpener, superseded_after_s
 from berylstair.flowlog import describe_flow
 from berylstair.flowtrack import FlowPhase, TrackedFlow
 from berylstair.ids import InstanceId
@@ -33,8 +33,6 @@
     DirectoryUpdate,
     FleetHeartbeat,
     PeerLost,
-    ReleaseBatch,
-    ReleaseRow,
 )
 from berylstair.steering_settings import SteeringSettings
 
@@ -50,9 +48,6 @@
 # The fabric removes an instance after two failed health checks, one every half second.
 MIN_STOP_S = 1.3
 STOP_MARGIN_S = 1.0
-# With at most this many reachable instances, all of them are told of a flow that moved to
-# another instance; in a larger fleet the dispatching instance tells the flow's holder.
-MAX_RELEASE_BROADCAST_PEERS = 32
 # The segments that arrived during a pause are read within this time after it.
 BACKLOG_READ_S = 0.25
 MS_PER_S = 1000
@@ -122,16 +117,18 @@
         """Runs the timers that are due."""
         self.core.timers.run_due(now)
 
-    def handle_segment(self, segment: Segment, now: float) -> None:
-        """Handles a segment from a caller."""
+    def handle_segment(self, segment: Segment, now: float, waited_s: float | None = None) -> None:
+        """Handles a segment from a caller.
+
+        Args:
+            segment: The segment.
+            now: Current time in seconds.
+            waited_s: Seconds since its arrival at this machine, None if unknown.
+        """
         self._last_segment_at = now
         self.core.counters.record_traffic(Traffic.CALLER_DATAGRAMS)
-        if segment.is_opening and now < self._backlog_until:
-            self.core.counters.record_refusal(ErrorKind.LATE_WAKE)
-            return
         if segment.is_opening:
-            self._flow_opener.handle_opening_segment(segment, now)
-            self._placement.place_waiting_flows(now)
+            self._handle_opening_segment(segment, now, waited_s)
             return
         flow = self.core.flows.get(segment.flow)
         if flow is None or not flow.is_server_confirmed:
@@ -141,6 +138,7 @@
             return
         flow.last_segment_at = now
         self.core.actions.append(SendSegment(flow.server, segment, flow.tag))
+        self._flow_opener.handle_caller_segment(flow, segment)
         if flow.phase is FlowPhase.OPEN:
             self._check_flow_end(flow, segment, now)
 
@@ -224,6 +222,23 @@
         # The peers may have declared this instance lost.
         self._liveness.broadcast_heartbeat(now)
 
+    def _handle_opening_segment(self, segment: Segment, now: float, waited_s: float | None) -> None:
+        """Handles an opening segment, unless its caller has sent another one since.
+
+        That one may have opened the flow through another instance. Where the wait is
+        unknown, all that arrived during a pause of this process is dropped.
+        """
+        is_superseded = (
+            now < self._backlog_until
+            if waited_s is None
+            else waited_s >= superseded_after_s(segment)
+        )
+        if is_superseded:
+            self.core.counters.record_refusal(ErrorKind.LATE_WAKE)
+            return
+        self._flow_opener.handle_opening_segment(segment, now, waited_s or 0)
+        self._placement.place_waiting_flows(now)
+
     def _schedule_periodic(
         self, period_s: float, task: Callable[[float], None], now: float
     ) -> None:
@@ -257,16 +272,20 @@
         if not is_offered_here:
             # The server was offered the flow by another instance, which may not see its end.
             core.counters.record_traffic(Traffic.ANSWERED_ELSEWHERE)
-            self._flow_opener.report_flow_end(flow, Outcome.ENDED, now)
             flow.phase = FlowPhase.OVER
         flow.server = registration.server
         flow.is_server_confirmed = True
         flow.tag = segment.tag
         flow.initial_acknowledged = segment.acknowledged
+        if not is_offered_here:
+            self._flow_opener.report_flow_end(flow, Outcome.ENDED, now)
+        if flow.is_known_elsewhere or not is_offered_here:
+            self._flow_opener.tell_other_holders(flow)
         if flow.phase is not FlowPhase.OVER:
             flow.phase = FlowPhase.OPEN
             core.latencies.handshake.observe(now - flow.offered_at)
         core.assigner.lease_table(flow.service).record_answer(registration.server.id, now)
+        self._flow_opener.handle_server_known(flow, now)
         return flow
 
     def _track_recovered_flow(
@@ -294,11 +313,7 @@
             segment.tag,
             is_server_confirmed=True,
         )
-        row = ReleaseRow(flow.key, flow.service, Outcome.ENDED)
-        reachable = core.fleet.membership.reachable
-        if len(reachable) <= MAX_RELEASE_BROADCAST_PEERS:
-            for peer in reachable - {dispatcher}:
-                core.add_row(ReleaseBatch, peer, row)
+        self._flow_opener.tell_other_holders(flow)
         self._flow_opener.report_flow_end(flow, Outcome.ENDED, now)
         return core.flows.add(flow)
 
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -78,11 +78,16 @@
 
 
 class ReleaseRow(NamedTuple):
-    """A flow whose work has ended."""
+    """A flow whose work has ended, or which continues at another instance.
+
+    Attributes:
+        tag: Tag of the server at which the flow is open, 0 if the sender does not know.
+    """
 
     flow: bytes
     service: str
     outcome: Outcome
+    tag: int = 0
 
 
 class LeaseRow(NamedTuple):
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -22,6 +22,7 @@
 )
 from berylstair.directory_source import SourceListing
 from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName, ZoneId
+from berylstair.membership import PAUSE_THRESHOLD_S
 from berylstair.record import BackendServer, BackendState
 from berylstair.segment import Segment
 from berylstair.shared_action import LogEntry, Stopped
@@ -42,6 +43,8 @@
 RETRANSMISSION_TIMES_S = (0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 SEQUENCE_STEP = 1000
+# Pauses before a server repeats its answer to an opening segment.
+ACCEPT_REPEATED_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 SOURCE_CONFIRMATION_INTERVAL_S = 0.5
 MIN_TIMER_DELAY_S = 0.0001
 
@@ -56,6 +59,7 @@
         backend_id: Server that accepted the flow, None before that.
         tag: Server's tag, as the caller last received it.
         acknowledged: Next byte that the caller expects from the server.
+        stays_open: Whether the caller keeps the flow for further requests.
         outcome: ``answered``, ``reset``, ``gave_up`` or, before the end, empty.
         latency_s: Time from the start of the request to its outcome.
     """
@@ -67,6 +71,7 @@
     backend_id: BackendId | None = None
     tag: int = 0
     acknowledged: int = 0
+    stays_open: bool = False
     outcome: str = ''
     latency_s: float = 0.0
 
@@ -82,6 +87,7 @@
             network delay.
         is_dead: Whether it drops all segments; work in progress still ends.
         open_flows: Keys of the flows that it holds.
+        tag_by_flow: Tag of the last segment received of each flow, which it sends.
         opening_count_by_flow: Opening segments received, by flow key.
         misrouted_segments: Segments received of flows that it does not hold.
     """
@@ -94,6 +100,7 @@
     busy_slots: int = 0
     queued_flows: list[CallerFlow] = field(default_factory=list)
     open_flows: set[FlowKey] = field(default_factory=set)
+    tag_by_flow: dict[FlowKey, int] = field(default_factory=dict)
     opening_count_by_flow: Counter[FlowKey] = field(default_factory=Counter)
     misrouted_segments: int = 0
 
@@ -109,6 +116,10 @@
         log_entries: Log entries with the IP address of their instance.
         stopped_ips: Instances that ended a planned stop.
         resets_to_lose: Number of the next resets that do not reach their caller.
+        repeats_accepts: Whether servers send their answer to an opening segment again
+            until the caller acknowledges it.
+        accept_loss_ratio: Share of those answers that are lost.
+        opening_loss_ratio: Share of opening segments lost between instance and server.
         on_flow_ended: Called with each flow that gets an outcome.
         sent_messages: Messages sent between instances, by type name.
         source_items: Items in the platform's store, by key.
@@ -148,6 +159,9 @@
         self.log_entries: list[tuple[str, LogEntry]] = []
         self.stopped_ips: set[str] = set()
         self.resets_to_lose = 0
+        self.repeats_accepts = False
+        self.accept_loss_ratio = 0.0
+        self.opening_loss_ratio = 0.0
         self.on_flow_ended: Callable[[CallerFlow], None] = lambda flow: None
         self.sent_messages: Counter[str] = Counter()
         self.source_items: dict[str, SourceChange] = {}
@@ -155,6 +169,7 @@
         self.delay_by_ip: defaultdict[str, float] = defaultdict(float)
         self.frozen_until_by_ip: defaultdict[str, float] = defaultdict(float)
         self.clock_ahead_by_ip: defaultdict[str, float] = defaultdict(float)
+        self._backlog_by_ip: defaultdict[str, list[tuple[float, Segment]]] = defaultdict(list)
         self._source_events: list[SourceChange] = []
         self._change_by_text: dict[bytes, DecodedChange] = {}
         self._wake_at_by_ip: dict[str, float] = {}
@@ -174,8 +189,7 @@
     def freeze(self, ip: str, duration_s: float) -> None:
         """Freezes an instance's process; what arrives meanwhile is handled when it wakes."""
         self.frozen_until_by_ip[ip] = self.now + duration_s
-        steering = self.steering_by_ip[ip]
-        self.schedule(duration_s, lambda: steering.handle_pause(duration_s, self.now_at(ip)))
+        self.schedule(duration_s, lambda: self._wake(ip, duration_s))
 
     def schedule_at(self, ip: str, delay_s: float, callback: Callable[[], None]) -> None:
         """Schedules what an instance does after a delay, or once it has woken."""
@@ -203,6 +217,7 @@
         """
         ip = f'10.0.0.{number + 1}'
         self.down_ips.discard(ip)
+        self.stopped_ips.discard(ip)
         self.unready_ips.discard(ip)
         zone = self._zones[number % len(self._zones)]
         settings = SteeringSettings(
@@ -338,19 +353,23 @@
         listing = SourceListing(self.source_position, tuple(self.source_items.values()))
         self.deliver_listing(ip, listing, is_full_listing=True)
 
-    def start_flow(self, zone: int = 0, work_s: float = 0.05) -> CallerFlow:
+    def start_flow(
+        self, zone: int = 0, work_s: float = 0.05, stays_open: bool = False
+    ) -> CallerFlow:
         """Starts one request, with retransmissions until a server accepts the flow.
 
         Args:
             zone: Index of the caller's zone.
             work_s: Time that the request keeps a slot of an unslowed server busy.
+            stays_open: Whether the caller keeps the flow for further requests.
         """
         port = next(self._caller_ports)
         caller = bytes((100, 64, zone, 1)) + port.to_bytes(2, 'big')
         service = bytes(map(int, SERVICE_ADDRESS.ip.split('.'))) + SERVICE_ADDRESS.port.to_bytes(
             2, 'big'
         )
-        flow = CallerFlow(FlowKey(caller + service), self._zones[zone], work_s, self.now)
+        key = FlowKey(caller + service)
+        flow = CallerFlow(key, self._zones[zone], work_s, self.now, stays_open=stays_open)
         self.flow_by_key[flow.key] = flow
         self._send_opening(flow, 0)
         for retransmission, after_s in enumerate(RETRANSMISSION_TIMES_S, start=1):
@@ -358,6 +377,10 @@
         self.schedule(OPENING_TIMEOUT_S, lambda: self._handle_opening_timeout(flow))
         return flow
 
+    def send_next_request(self, flow: CallerFlow) -> None:
+        """Sends a further request on an open flow, with the tag that its caller has."""
+        self._send_from_caller(flow, self._make_segment(flow)._replace(sequence=9))
+
     def repeat_accept(self, flow: CallerFlow, server: SimulatedServer) -> None:
         """Delivers to a flow's caller another accept, which may be of another server."""
         self._handle_accept(
@@ -516,11 +539,28 @@
             ip = rotation[int.from_bytes(flow.key[:6], 'big') % len(rotation)]
             self.schedule(CALLER_DELAY_S, lambda: self._deliver_to_instance(ip, segment))
 
+    def _wake(self, ip: str, paused_s: float) -> None:
+        """Lets a frozen instance read the segments that have arrived, before its timers run."""
+        if ip in self.down_ips:
+            return
+        if paused_s > PAUSE_THRESHOLD_S:
+            self.steering_by_ip[ip].handle_pause(paused_s, self.now_at(ip))
+        for arrived_at, segment in self._backlog_by_ip.pop(ip, ()):
+            self._handle_segment(ip, segment, self.now - arrived_at)
+        self.steering_by_ip[ip].handle_backlog_end()
+
     def _deliver_to_instance(self, ip: str, segment: Segment) -> None:
-        if ip not in self.down_ips:
-            steering = self.steering_by_ip[ip]
-            steering.handle_segment(segment, self.now)
-            self._perform_actions(ip, steering)
+        if ip in self.down_ips:
+            return
+        if self.now < self.frozen_until_by_ip[ip]:
+            self._backlog_by_ip[ip].append((self.now, segment))
+        else:
+            self._handle_segment(ip, segment, 0)
+
+    def _handle_segment(self, ip: str, segment: Segment, waited_s: float) -> None:
+        steering = self.steering_by_ip[ip]
+        steering.handle_segment(segment, self.now_at(ip), waited_s)
+        self._perform_actions(ip, steering)
 
     def _send_opening(self, flow: CallerFlow, retransmission_count: int) -> None:
         if not flow.outcome and flow.backend_id is None:
@@ -542,11 +582,14 @@
         if server.is_dead or (ip, server.backend_server.address.ip) in self.blocked_links:
             return
         flow = self.flow_by_key[segment.flow]
+        if segment.is_opening and self.rng.random() < self.opening_loss_ratio:
+            return
+        is_first = flow.key not in server.tag_by_flow
+        server.tag_by_flow[flow.key] = segment.tag
         if segment.is_opening:
             server.opening_count_by_flow[flow.key] += 1
-            sequence = server.number * SEQUENCE_STEP
-            delay_s = CALLER_DELAY_S + server.accept_delay_s
-            self.schedule(delay_s, lambda: self._handle_accept(flow, server, sequence, segment.tag))
+            if flow.key not in server.open_flows:
+                self._send_accept(flow, server, ACCEPT_REPEATED_AFTER_S if is_first else ())
         elif flow.key in server.open_flows:
             return
         elif flow.backend_id == server.backend_server.id and not segment.is_closing:
@@ -556,6 +599,21 @@
         else:
             server.misrouted_segments += 1
 
+    def _send_accept(
+        self, flow: CallerFlow, server: SimulatedServer, repeated_after_s: tuple[float, ...]
+    ) -> None:
+        """Sends a server's answer to an opening segment, and again while it is unacknowledged."""
+        if flow.key in server.open_flows or server.is_dead:
+            return
+        sequence = server.number * SEQUENCE_STEP
+        delay_s = CALLER_DELAY_S + server.accept_delay_s
+        tag = server.tag_by_flow[flow.key]
+        if self.rng.random() >= self.accept_loss_ratio:
+            self.schedule(delay_s, lambda: self._handle_accept(flow, server, sequence, tag))
+        if self.repeats_accepts and repeated_after_s:
+            pause_s, *later = repeated_after_s
+            self.schedule(pause_s, lambda: self._send_accept(flow, server, tuple(later)))
+
     def _start_queued_flows(self, server: SimulatedServer) -> None:
         while server.queued_flows and server.busy_slots < server.backend_server.slots:
             flow = server.queued_flows.pop(0)
@@ -567,7 +625,8 @@
     def _finish_work(self, server: SimulatedServer, flow: CallerFlow) -> None:
         server.busy_slots -= 1
         self._start_queued_flows(server)
-        self.schedule(CALLER_DELAY_S, lambda: self._handle_response(flow))
+        tag = server.tag_by_flow[flow.key]
+        self.schedule(CALLER_DELAY_S, lambda: self._handle_response(flow, tag))
 
     def _handle_accept(
         self, flow: CallerFlow, server: SimulatedServer, sequence: int, tag: int
@@ -581,10 +640,12 @@
             flow.acknowledged = sequence + 1
             self._send_from_caller(flow, self._make_segment(flow))
 
-    def _handle_response(self, flow: CallerFlow) -> None:
+    def _handle_response(self, flow: CallerFlow, tag: int) -> None:
+        flow.tag = tag
         self._end_flow(flow, 'answered')
         flow.acknowledged += 500
-        self._send_from_caller(flow, self._make_segment(flow)._replace(is_closing=True))
+        segment = self._make_segment(flow)
+        self._send_from_caller(flow, segment._replace(is_closing=not flow.stays_open))
 
     def _make_segment(self, flow: CallerFlow) -> Segment:
         return Segment(flow.key, False, False, False, 8, flow.acknowledged, flow.tag, b'')
