Tell how long a segment has waited, and read before late timers

Callers saw: the same reset after instances had been paused for less than a second. Cause: two kinds of old input. An opening segment that waited while its process was paused counted as new, unless the pause was longer than a second, although its caller had sent the next one, perhaps through another instance. And after a pause the timeout of an offer ran as soon as 64 datagrams had been read, with the caller's answer still unread behind them, so the flow was offered again. Change: the kernel stamps the datagrams of the packet socket at their arrival (SO_TIMESTAMPNS), and the core drops an opening segment that waited until its caller sent the next one; where there is no stamp, the pause is the measure as before. A timer that runs more than 10 ms late waits until what has arrived is read.

--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -27,6 +27,10 @@
 
 # The loop applies an answer of the source within this time, unless it failed or is paused.
 APPLY_TIMEOUT_S = 1.0
+# A timer that runs this late shows that the process was paused or busy.
+LATE_TIMER_S = 0.01
+# Reads before a late timer; the sockets' buffers hold less than that.
+MAX_BACKLOG_READS = 1024
 
 
 class SteeringLoop:
@@ -50,8 +54,9 @@
         self._log = log
         self._loop = asyncio.new_event_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0
+        self._timer_at = boot_clock()
         self._last_active_at = boot_clock()
+        self._has_backlog = False
         self._is_source_lost = False
         self._was_ready = False
         self._read_schedule = ReadSchedule(steering.core)
@@ -111,6 +116,16 @@
         """Begins a planned stop; called from a signal handler."""
         self.post(self._steering.request_stop)
 
+    def run_timers_due_at(self, due_at: float) -> None:
+        """Runs the core's timers; if they are late, after what arrived before them.
+
+        What a timer waits for may have arrived while the process was paused or busy.
+        """
+        if self._has_backlog or boot_clock() - due_at > LATE_TIMER_S:
+            self._read_backlog()
+        self._run_guarded(self._steering.run_timers, self._read_clock())
+        self.perform_actions()
+
     def reload(self, load: Callable[[], SteeringSettings]) -> None:
         """Loads and applies changed settings; called from a signal handler.
 
@@ -165,20 +180,39 @@
         }
 
     def _handle_segments(self) -> None:
+        self._read_segments()
+        self.perform_actions()
+
+    def _read_segments(self) -> int:
+        """Handles the segments that have arrived, up to a limit, and returns their number."""
         now = self._read_clock()
         segments = list(self._sockets.read_segments())
-        for segment in segments:
-            self._run_guarded(self._steering.handle_segment, segment, now)
-        if len(segments) < MAX_DATAGRAMS_PER_READ:
+        for segment, waited_s in segments:
+            self._run_guarded(self._steering.handle_segment, segment, now, waited_s)
+        self._has_backlog = len(segments) >= MAX_DATAGRAMS_PER_READ
+        if not self._has_backlog:
             self._steering.handle_backlog_end()
-        self.perform_actions()
+        return len(segments)
 
     def _handle_messages(self) -> None:
+        self._read_messages()
+        self.perform_actions()
+
+    def _read_messages(self) -> int:
+        """Handles the messages that have arrived, up to a limit, and returns their number."""
+        count = 0
         for sender_ip, message in self._sockets.read_messages():
+            count += 1
             # An answer states this time, which must not be before the message arrived.
             now = self._read_clock()
             self._run_guarded(self._steering.handle_message, sender_ip, message, now)
-        self.perform_actions()
+        return count
+
+    def _read_backlog(self) -> None:
+        """Handles what arrived before now, as timers wait for it."""
+        for _ in range(MAX_BACKLOG_READS):
+            if max(self._read_messages(), self._read_segments()) < MAX_DATAGRAMS_PER_READ:
+                return
 
     def _run_work(self, work: Callable[[float], None]) -> None:
         self._run_guarded(work, self._read_clock())
@@ -186,8 +220,7 @@
 
     def _handle_timer(self) -> None:
         self._timer = None
-        self._run_guarded(self._steering.run_timers, self._read_clock())
-        self.perform_actions()
+        self.run_timers_due_at(self._timer_at)
 
     def _run_guarded(self, handle: Callable[..., None], *event: Any) -> None:
         """Lets the core handle an event; an exception is logged and the process goes on."""
--- a/berylstair/steering_ports.py
+++ b/berylstair/steering_ports.py
@@ -15,7 +15,12 @@
 from berylstair.steering_action import ResetCaller, SendMessage, SendSegment
 from berylstair.steering_message import STEERING_CODEC
 from berylstair.steering_settings import SteeringSettings
-from berylstair.udp import MAX_DATAGRAM_BYTES, MAX_DATAGRAMS_PER_READ, open_udp_socket
+from berylstair.udp import (
+    MAX_DATAGRAM_BYTES,
+    MAX_DATAGRAMS_PER_READ,
+    open_udp_socket,
+    receive_stamped,
+)
 
 __all__ = ['SegmentCodec', 'SteeringSockets']
 
@@ -68,14 +73,17 @@
         self._refusal_logged_at = -math.inf
         self._cached_message: object = None
         self._cached_data = b''
-        self.packet_socket = open_udp_socket(settings.packet_endpoint)
+        self.packet_socket = open_udp_socket(settings.packet_endpoint, stamps_arrivals=True)
         self.peer_socket = open_udp_socket(settings.peer_endpoint)
 
-    def read_segments(self) -> Iterator[Segment]:
-        """Yields the segments that have arrived."""
-        for data, _ in _receive_datagrams(self.packet_socket):
+    def read_segments(self) -> Iterator[tuple[Segment, float | None]]:
+        """Yields the segments that have arrived, each with the time that it waited.
+
+        The time is in seconds, and None where the kernel does not tell.
+        """
+        for data, waited_s in receive_stamped(self.packet_socket):
             try:
-                yield self._segments.decode(data)
+                yield self._segments.decode(data), waited_s
             except DecodeError:
                 self._counters.record_refusal(ErrorKind.MALFORMED_DATAGRAM)
 
--- a/tests/test_steering_loop.py
+++ b/tests/test_steering_loop.py
@@ -10,14 +10,40 @@
 
 from berylstair.catalogue import LogEvent
 from berylstair.linelog import LineLog
+from berylstair.serving import boot_clock
 from berylstair.shared_action import LogEntry
 from berylstair.steering_action import SendMessage
 from berylstair.steering_loop import SteeringLoop
+from berylstair.udp import MAX_DATAGRAMS_PER_READ
 from emulator.simulation import SimulatedWorld
 
 
 class ActionTest(TestCase):
-    """Actions of one event."""
+    """Actions of one event, and the order of events."""
+
+    def test_a_late_timer_runs_after_what_arrived_before_it(self) -> None:
+        # Sizes of the reads that are to come, how late the timer is, and how many segments
+        # are handled before it.
+        full = MAX_DATAGRAMS_PER_READ
+        for sizes, late_s, expected in (
+            ((full, full, 8), 0.5, 2 * full + 8),
+            ((1,), 0.5, 1),
+            ((0,), 0.5, 0),
+            ((full, 8), 0.0, 0),
+        ):
+            steering = mock.Mock(wake_at=None, is_ready=False)
+            steering.core.rng.random.return_value = 0.5
+            steering.take_actions.return_value = []
+            sockets = mock.Mock()
+            segments = [(f'segment {number}', 0.1) for number in range(full)]
+            sockets.read_segments.side_effect = [segments[:size] for size in sizes]
+            sockets.read_messages.return_value = ()
+            loop = SteeringLoop(mock.Mock(), steering, sockets, mock.Mock())
+            loop.run_timers_due_at(boot_clock() - late_s)
+            calls = [name for name, _, _ in steering.mock_calls]
+            with self.subTest(sizes=sizes, late_s=late_s):
+                before_timers = calls[: calls.index('run_timers')]
+                self.assertThat(before_timers.count('handle_segment'), Equals(expected))
 
     def test_an_action_that_fails_keeps_no_other_from_being_done(self) -> None:
         steering = next(iter(SimulatedWorld(1).steering_by_ip.values()))
