Play idle flows through restarts, joins and short pauses in the soak

The soak's servers answered an opening segment once and ignored segments of a flow that they did not hold while its handshake was open, so a late answer of theirs could do no harm, and no caller paused for longer than a second. Now they repeat their answers, send the last echo that they received, and reset a flow that is open at another server; callers take over the echo of every packet at once. A planned stop no longer kills the process that another disruption has started meanwhile.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,7 +47,9 @@
         self._inbox: asyncio.Queue[tuple[bytes, str]] = asyncio.Queue()
 
     def handle_packet(self, packet: bytes, source_ip: str) -> None:
-        """Queues a packet received from a server or an instance."""
+        """Queues a packet received from a server or an instance, and takes over its echo."""
+        if not PACKET_HEADER.unpack_from(packet)[1] & RST:
+            self._echo = PACKET_HEADER.unpack_from(packet)[-1]
         self._inbox.put_nowait((packet, source_ip))
 
     async def open(self) -> RequestOutcome | None:
@@ -140,10 +142,9 @@
     ) -> tuple[int, int, bytes, str] | None:
         """Decodes a packet; returns None if it is not the expected one."""
         length, flags = PACKET_HEADER.unpack_from(packet)[:2]
-        sequence, acknowledged, echo = PACKET_HEADER.unpack_from(packet)[7:]
+        sequence, acknowledged = PACKET_HEADER.unpack_from(packet)[7:9]
         if flags & RST:
             return flags, sequence, b'', source_ip
-        self._echo = echo
         is_expected = acknowledged == expected_ack if expected_ack else not length
         if is_expected and self.server_ip in {None, source_ip}:
             return flags, sequence, packet[PACKET_HEADER.size :], source_ip
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -10,21 +10,40 @@
 from emulator.faults import Faults
 from emulator.odd_entries import ODD_ENTRIES
 from emulator.platform_store import StoreFault
-from soak.environment import PEER_PROPAGATION_LIMIT_S, SERVICES, ZONES, SoakEnvironment
+from soak.environment import (
+    CALLERS,
+    PEER_PROPAGATION_LIMIT_S,
+    SERVICES,
+    ZONES,
+    SoakEnvironment,
+)
 from soak.fleet import STORE, InstanceProcess
 
-__all__ = ['DISRUPTION_BY_NAME', 'OLD_DIRECTORY_KINDS', 'STORE_RESTORE', 'Disruption']
+__all__ = [
+    'DISRUPTION_BY_NAME',
+    'IDLE_FLOW_KINDS',
+    'OLD_DIRECTORY_KINDS',
+    'STORE_RESTORE',
+    'Disruption',
+]
 
 Disruption = Callable[[SoakEnvironment, float], Awaitable[None]]
 STORE_RESTORE = 'restore_store'
 # Kinds that have made instances serve on an old directory.
 OLD_DIRECTORY_KINDS = ('odd_entries', 'refuse_some', 'slow_zone')
+# Kinds that have reset open flows whose callers pause.
+IDLE_FLOW_KINDS = ('lose_answers', 'pause_briefly', 'rejoin', 'stop_in_turn')
+_ANSWERS_LOST = Faults(drop_ratio=0.3)
 _LOSSY = Faults(drop_ratio=0.1, duplicate_ratio=0.1, delay_ms=(0.0, 30.0))
 _BLOCKED = Faults(is_blocked=True)
 _RESET = Faults(resets_connections=True)
 _REFUSED = Faults(refuses_calls=True)
 # Packets wait for over half a second at a link that more is sent to than it can carry.
 _SLOW = Faults(delay_ms=(700.0, 700.0))
+# Shorter than what a process itself, or the fabric, notices as a pause.
+BRIEF_PAUSE_RANGE_S = (0.2, 0.95)
+BRIEF_PAUSE_GAP_S = 0.2
+ABSENCE_S = 1.0
 # A burst of clients, and the time for which its packets go on waiting.
 SLOW_ZONE_S = 8.0
 ODD_ENTRY_COUNT = 4
@@ -69,6 +88,28 @@
     )
 
 
+async def _pause_briefly(environment: SoakEnvironment, _for_s: float) -> None:
+    for instance in _sample_instances(environment, 1):
+        await environment.fleet.pause(instance, environment.rng.uniform(*BRIEF_PAUSE_RANGE_S))
+        await asyncio.sleep(BRIEF_PAUSE_GAP_S)
+
+
+async def _rejoin(environment: SoakEnvironment, _for_s: float) -> None:
+    await asyncio.gather(
+        *(
+            environment.fleet.stop_and_restart(instance, absent_s=ABSENCE_S)
+            for instance in _sample_instances(environment, 0.3)
+        )
+    )
+
+
+async def _lose_answers(environment: SoakEnvironment, for_s: float) -> None:
+    names = [f'server-{number}' for number, _ in enumerate(environment.server_addresses)]
+    links = [(name, CALLERS) for name in names]
+    everyone = [instance.name for instance in environment.fleet.instances]
+    await _inject_link_faults(environment, links, _ANSWERS_LOST, for_s, affected=everyone)
+
+
 async def _stop_in_turn(environment: SoakEnvironment, _for_s: float) -> None:
     for instance in _sample_instances(environment, 0.6):
         await environment.fleet.stop_and_restart(
@@ -299,6 +340,9 @@
     'kill_all': _kill_all,
     'clock_step': _kill_with_clock_step,
     'pause_some': _pause_some,
+    'pause_briefly': _pause_briefly,
+    'rejoin': _rejoin,
+    'lose_answers': _lose_answers,
     'stop_in_turn': _stop_in_turn,
     'stop_together': _stop_together,
     'reload': _reload_some,
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -21,10 +21,12 @@
 from soak.observations import Promise, RequestOutcome, RunObservations
 from soak.servers import BackendServer, ServerAddress
 
-__all__ = ['SoakEnvironment']
+__all__ = ['CALLERS', 'SERVICES', 'ZONES', 'SoakEnvironment']
 
 SERVICES = ('reports-desk', 'mapserve')
 ZONES = ('tame-side', 'avon-side', 'trent-side')
+# End of the links from the servers to the callers.
+CALLERS = 'callers'
 _SERVER_OCTET, _CALLER_OCTET = 4, 5
 SERVER_HEARTBEAT_INTERVAL_S = 1.2
 ENTRY_EXPIRY_S = 3 * SERVER_HEARTBEAT_INTERVAL_S
@@ -244,7 +246,10 @@
         def on_flow_opened(port: int, server: BackendServer, source: Endpoint) -> None:
             self._check_opened_flow(port, server, self.fleet.instance_by_ip[source.ip])
 
-        address = ServerAddress(endpoint, self.layout.ports[0], transmit, on_flow_opened)
+        answers = self.links.get_link(f'server-{number}', CALLERS)
+        address = ServerAddress(
+            endpoint, self.layout.ports[0], transmit, answers.transmit, on_flow_opened
+        )
         self.server_addresses.append(address)
         self._exit_stack.callback(address.close)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -187,8 +187,17 @@
         self.send_signal(instance, signal.SIGCONT)
         instance.is_paused = False
 
-    async def stop_and_restart(self, instance: InstanceProcess, signal_count: int = 1) -> None:
-        """Requests a planned stop, checks the exit status and starts the instance again."""
+    async def stop_and_restart(
+        self, instance: InstanceProcess, signal_count: int = 1, absent_s: float = 0.0
+    ) -> None:
+        """Requests a planned stop, checks the exit status and starts the instance again.
+
+        Args:
+            instance: The instance.
+            signal_count: Number of signals that request the stop.
+            absent_s: Seconds between the end of the process and the start of another,
+                which then joins the others.
+        """
         self.mark_disrupted(instance, STOP_GRACE_S)
         process = instance.process
         instance.should_run = False
@@ -207,8 +216,11 @@
                 self.clock.now(),
                 f'{instance.name} status={status} after {duration_s:.1f} s',
             )
-        self.send_signal(instance, signal.SIGKILL)
-        await self._wait_for_exit(instance, STOP_GRACE_S)
+        if instance.process is process:
+            # Another disruption may have started the next process already.
+            self.send_signal(instance, signal.SIGKILL)
+            await self._wait_for_exit(instance, STOP_GRACE_S)
+        await asyncio.sleep(absent_s)
         self.launch(instance)
 
     async def run_health_checks(self) -> None:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -59,11 +59,13 @@
         outcome_counts: Number of requests by outcome.
         runs_by_request: How often each request was run at backend servers.
         refused_requests: Requests whose flow was reset before it opened.
+        open_flows: Flows whose handshake is complete at a server.
     """
 
     outcome_counts: Counter[RequestOutcome] = field(default_factory=Counter)
     runs_by_request: Counter[int] = field(default_factory=Counter)
     refused_requests: set[int] = field(default_factory=set)
+    open_flows: set[tuple[int, int, int, int]] = field(default_factory=set)
     findings: list[Finding] = field(default_factory=list)
 
     def add_finding(self, promise: Promise, at_s: float, detail: str) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,12 @@
 from random import Random
 
 from soak.callers import Caller, CallerFlow
-from soak.disruptions import DISRUPTION_BY_NAME, OLD_DIRECTORY_KINDS, STORE_RESTORE
+from soak.disruptions import (
+    DISRUPTION_BY_NAME,
+    IDLE_FLOW_KINDS,
+    OLD_DIRECTORY_KINDS,
+    STORE_RESTORE,
+)
 from soak.environment import SERVICES, SoakEnvironment
 from soak.fleet import InstanceProcess
 from soak.observations import Finding, Promise, RequestOutcome
@@ -27,11 +32,27 @@
 # many kinds, hardly any instance settles, and time limits apply only to settled ones.
 DISRUPTION_COUNTS = (1, 2, 3, 5)
 # Kinds that only some seeds have, by the seed's remainder: the store is restored from a copy
-# with the seeds 3, 7, 11 and so on, and the directory may grow old with 2, 6, 10 and so on.
+# with the seeds 3, 7, 11 and so on, the directory may grow old with 2, 6, 10 and so on, and
+# callers hold idle flows with 4, 12, 20 and so on.
 # Among the sampled kinds they would change the disruptions of the regression seeds.
-SEED_REMAINDERS = 4
-KINDS_BY_SEED_REMAINDER = {2: OLD_DIRECTORY_KINDS, 3: (STORE_RESTORE,)}
-SAMPLED_DISRUPTIONS = tuple(sorted(set(DISRUPTION_BY_NAME) - {STORE_RESTORE, *OLD_DIRECTORY_KINDS}))
+SEED_REMAINDERS = 8
+IDLE_FLOW_REMAINDER = 4
+KINDS_BY_SEED_REMAINDER = {
+    2: OLD_DIRECTORY_KINDS,
+    3: (STORE_RESTORE,),
+    IDLE_FLOW_REMAINDER: IDLE_FLOW_KINDS,
+    6: OLD_DIRECTORY_KINDS,
+    7: (STORE_RESTORE,),
+}
+IDLE_FLOW_COUNT = 200
+# Longer than an instance remembers a flow that has a tag, shorter than the idle timeout.
+_IDLE_PAUSE_RANGE_S = (3.5, 8.0)
+SAMPLED_DISRUPTIONS = tuple(
+    sorted(
+        set(DISRUPTION_BY_NAME)
+        - {STORE_RESTORE, *OLD_DIRECTORY_KINDS, 'lose_answers', 'pause_briefly', 'rejoin'}
+    )
+)
 DIRECTORY_CHANGES = ('change_routes', 'release', 'reuse_addresses')
 _DISRUPTION_GAP_RANGE_S = (0.2, 2.5)
 _DISRUPTION_DURATION_RANGE_S = (0.5, 5.0)
@@ -78,6 +99,10 @@
         load_tasks.extend(
             asyncio.create_task(_run_long_flow(environment)) for _ in range(LONG_FLOW_COUNT)
         )
+        if seed % SEED_REMAINDERS == IDLE_FLOW_REMAINDER:
+            load_tasks.extend(
+                asyncio.create_task(_run_idle_flows(environment)) for _ in range(IDLE_FLOW_COUNT)
+            )
         await asyncio.sleep(FAULT_FREE_START_S)
         names = _choose_disruptions(seed, rng)
         disruptions = await _inject_disruptions(environment, rng, names, size.fault_injection_s)
@@ -106,7 +131,11 @@
         rng.choice(DIRECTORY_CHANGES),
         *rng.sample(SAMPLED_DISRUPTIONS, rng.choice(DISRUPTION_COUNTS)),
     ]
-    return [*names, *KINDS_BY_SEED_REMAINDER.get(seed % SEED_REMAINDERS, ())]
+    remainder = seed % SEED_REMAINDERS
+    if remainder == IDLE_FLOW_REMAINDER:
+        # With many other kinds, few flows are open when the rotation changes.
+        names = names[:2]
+    return [*names, *KINDS_BY_SEED_REMAINDER.get(remainder, ())]
 
 
 async def _inject_disruptions(
@@ -137,6 +166,23 @@
         task.add_done_callback(tasks.discard)
 
 
+async def _run_idle_flows(environment: SoakEnvironment) -> None:
+    """Sends two requests on each flow, with a pause between them, one flow after the other."""
+    rng = Random(environment.rng.random())
+    while True:
+        caller = rng.choice(environment.callers)
+        flow = caller.create_flow(environment.service_address(rng.choice(SERVICES)))
+        if await flow.open() is None:
+            outcome = await environment.send_flow_request(caller, flow)
+            if outcome is RequestOutcome.ANSWERED:
+                await asyncio.sleep(rng.uniform(*_IDLE_PAUSE_RANGE_S))
+                outcome = await environment.send_flow_request(caller, flow)
+            if outcome is RequestOutcome.ANSWERED:
+                flow.close()
+            else:
+                _check_ended_flow(environment, flow, outcome)
+
+
 async def _run_long_flow(environment: SoakEnvironment) -> None:
     """Sends requests on a long-lived flow; opens another when it ends."""
     rng = Random(environment.rng.random())
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -17,14 +17,21 @@
 FlowKey = tuple[int, int, int, int]
 _INITIAL_SEQUENCE_STEP = 100_000
 _SEQUENCE_SPACE = 1 << 32
+# Pauses before an answer to an opening segment is sent again.
+_OPENING_REPEATED_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 _BACKEND_NUMBER_BYTES = 8
 
 
 @dataclass(slots=True)
 class _ServerFlow:
-    """State of a flow at its server."""
+    """State of a flow at its server.
+
+    Attributes:
+        echo: Echo of the last packet received, which the server's own packets carry.
+    """
 
     sequence: int
+    echo: int = 0
     is_open: bool = False
     answers_by_sequence: dict[int, bytes] = field(default_factory=dict)
 
@@ -81,36 +88,61 @@
         service = Endpoint(_format_ip(endpoint_fields[0]), endpoint_fields[1])
         caller = Endpoint(_format_ip(endpoint_fields[2]), endpoint_fields[3])
 
+        existing = self.flow_by_key.get(flow_key)
+        if existing is not None:
+            existing.echo = echo
+
         def send_answer(answer_flags: int, answer_sequence: int, data: bytes = b'') -> None:
+            held = self.flow_by_key.get(flow_key)
             header_fields = (
                 answer_sequence % _SEQUENCE_SPACE,
                 (sequence + max(length, 1)) % _SEQUENCE_SPACE,
-                echo,
+                held.echo if held else echo,
             )
             send(caller, pack_packet(answer_flags, service, caller, header_fields, data))
 
+        if flags & SYN and existing is not None:
+            # A copy of an opening segment opens nothing.
+            send_answer(SYN | ACK, existing.sequence)
+            return False
         if flags & SYN:
-            flow = self.flow_by_key.setdefault(
-                flow_key,
-                _ServerFlow(self.backend_number * _INITIAL_SEQUENCE_STEP % _SEQUENCE_SPACE),
+            first_sequence = self.backend_number * _INITIAL_SEQUENCE_STEP % _SEQUENCE_SPACE
+            flow = _ServerFlow(first_sequence, echo)
+            self.flow_by_key[flow_key] = flow
+            self._answer_opening(
+                flow, lambda: send_answer(SYN | ACK, flow.sequence), _OPENING_REPEATED_AFTER_S
             )
-            send_answer(SYN | ACK, flow.sequence)
             return True
-        existing = self.flow_by_key.get(flow_key)
         if existing is None:
             if not flags & FIN:
                 self.reset_flows.add(flow_key)
                 send_answer(RST, 0)
             return False
         if not existing.is_open and acknowledged != (existing.sequence + 1) % _SEQUENCE_SPACE:
+            if flow_key in self._observations.open_flows and not flags & FIN:
+                self.reset_flows.add(flow_key)
+                send_answer(RST, 0)
             return False
         existing.is_open = True
+        self._observations.open_flows.add(flow_key)
         if flags & FIN:
             self.flow_by_key.pop(flow_key)
         elif length:
             self._handle_request(existing, sequence, packet[PACKET_HEADER.size :], send_answer)
         return False
 
+    def _answer_opening(
+        self, flow: _ServerFlow, send: Callable[[], None], repeated_after_s: tuple[float, ...]
+    ) -> None:
+        """Answers an opening segment, and again until the handshake is complete."""
+        if flow.is_open or self.ended_at is not None:
+            return
+        send()
+        if repeated_after_s:
+            asyncio.get_running_loop().call_later(
+                repeated_after_s[0], self._answer_opening, flow, send, repeated_after_s[1:]
+            )
+
     def _handle_request(
         self,
         flow: _ServerFlow,
@@ -145,6 +177,7 @@
         endpoint: Endpoint,
         caller_port: int,
         transmit: Callable[[Endpoint, Callable[[], None]], None],
+        transmit_answer: Callable[[Callable[[], None]], None],
         on_flow_opened: Callable[[int, BackendServer, Endpoint], None],
     ) -> None:
         """Opens the socket.
@@ -153,6 +186,7 @@
             endpoint: Address at which packets arrive.
             caller_port: Port at which callers receive packets.
             transmit: Passes a packet over the link from its sender to this address.
+            transmit_answer: Passes a packet over the link from this address to callers.
             on_flow_opened: Called for each opening segment with the service
                 port, the server and the sender.
         """
@@ -162,6 +196,7 @@
         self._on_flow_opened = on_flow_opened
         self._socket = UdpSocket(endpoint, self._handle_datagram)
         self._transmit = transmit
+        self._transmit_answer = transmit_answer
 
     def close(self) -> None:
         """Closes the socket."""
@@ -180,7 +215,8 @@
             self._on_flow_opened(PACKET_HEADER.unpack_from(packet)[3], server, source)
 
     def _send(self, caller: Endpoint, packet: bytes) -> None:
-        self._socket.send(packet, Endpoint(caller.ip, self._caller_port))
+        target = Endpoint(caller.ip, self._caller_port)
+        self._transmit_answer(lambda: self._socket.send(packet, target))
 
 
 def _format_ip(number: int) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,11 @@
         'odd entries, refused instances and a slow zone: instances served on an old directory',
     ),
 )
+# Seeds whose callers hold idle flows, and the fault that they found.
+IDLE_FLOW_SEEDS = (
+    (20, 'servers that were offered a flow in vain reset it after a pause of its caller'),
+    (28, 'the same, with fewer flows'),
+)
 
 
 async def check_new_route(is_published: bool, has_servers: bool) -> list[Finding]:
@@ -79,6 +84,12 @@
             self.assertThat([str(finding) for finding in result.findings], Equals([]))
             self.assertThat(result.outcome_counts['answered'], GreaterThan(100))
 
+    def test_idle_flows_outlive_restarts_joins_and_short_pauses(self) -> None:
+        for seed, _fault in IDLE_FLOW_SEEDS:
+            result = asyncio.run(run_seed(seed, RunSize()))
+            self.assertThat([str(finding) for finding in result.findings], Equals([]))
+            self.assertThat(result.outcome_counts['answered'], GreaterThan(100))
+
     def test_missing_route_is_distinguished_from_service_without_servers(self) -> None:
         for is_published, has_servers, expected_promises in (
             (True, True, set()),
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -18,6 +18,9 @@
 COPIED_PATHS = ('berylstair', 'emulator', 'soak', 'tests', 'examples', 'docs', 'pyproject.toml')
 PARALLEL_CASES = 3
 INSTANCE_TESTS = 'tests/test_instance.py'
+FLOW_OFFER_TESTS = 'tests/test_flow_offers.py'
+PEER_CLAIM_TESTS = 'tests/test_peer_claims.py'
+FAR_AHEAD = 'far_ahead'
 
 
 @dataclass(frozen=True, slots=True)
@@ -464,8 +467,8 @@
         'platform: open flows',
         'openings from before a pause are dropped',
         'steering',
-        'if segment.is_opening and now < self._backlog_until:',
-        'if False:',
+        'now < self._backlog_until\n',
+        'False\n',
         'before_a_pause',
         'tests/test_steering.py',
     ),
@@ -473,11 +476,101 @@
         'platform: open flows',
         'a flow with several offers is remembered',
         'flowtrack',
-        'flow.phase is FlowPhase.OVER and not flow.excluded',
+        'flow.phase is FlowPhase.OVER and len(flow.offered) <= 1',
         'flow.phase is FlowPhase.OVER',
         'late_accept',
         'tests/test_steering.py',
     ),
+    MutationCase(
+        'platform: open flows',
+        'servers that were offered a flow in vain get the right tag',
+        'tag_correction',
+        'if flow.opening_segment is None or not others:',
+        'if True:',
+        'they_get_the_tag',
+        FLOW_OFFER_TESTS,
+    ),
+    MutationCase(
+        'platform: open flows',
+        'the same, on real processes',
+        'tag_correction',
+        'if flow.opening_segment is None or not others:',
+        'if True:',
+        'idle_flows',
+        'tests/test_soak.py',
+    ),
+    MutationCase(
+        'platform: open flows',
+        'instances that may have offered a flow hear where it is open',
+        'flow_opener',
+        'if not tag or flow.is_server_confirmed:',
+        'if True:',
+        'next_segment',
+        FLOW_OFFER_TESTS,
+    ),
+    MutationCase(
+        'platform: open flows',
+        'superseded opening segments are dropped',
+        'steering',
+        'else waited_s >= superseded_after_s(segment)',
+        'else False',
+        'sent_again_since',
+        FLOW_OFFER_TESTS,
+    ),
+    MutationCase(
+        'platform: open flows',
+        'late timers run after what has arrived',
+        'steering_loop',
+        'if self._has_backlog or boot_clock() - due_at > LATE_TIMER_S:',
+        'if False:',
+        'late_timer',
+        'tests/test_steering_loop.py',
+    ),
+    MutationCase(
+        'platform: false claims',
+        'positions that the source has not reached are withdrawn',
+        'directory_sync',
+        'if held < refuted:',
+        'if True:',
+        FAR_AHEAD,
+        PEER_CLAIM_TESTS,
+    ),
+    MutationCase(
+        'platform: false claims',
+        'confirmations that contradict the directory do not count',
+        'fleet',
+        'if not is_contradicted:',
+        'if True:',
+        FAR_AHEAD,
+        PEER_CLAIM_TESTS,
+    ),
+    MutationCase(
+        'platform: false claims',
+        'refuted positions are refused',
+        'directory_sync',
+        'return position >= refuted',
+        'return False',
+        FAR_AHEAD,
+        PEER_CLAIM_TESTS,
+    ),
+    MutationCase(
+        'platform: false claims',
+        'claims that a fetch has met are not fetched again',
+        'directory_sync',
+        'if is_met or',
+        'if',
+        'not_fetched_again',
+        PEER_CLAIM_TESTS,
+    ),
+    MutationCase(
+        'platform: false claims',
+        'clock bounds that a message contradicts are dropped',
+        'clock_bounds',
+        'if bound is not None and is_same_clock and sent_at',
+        'if False and sent_at',
+        'no_answer_time',
+        'tests/test_peer_numbers.py',
+    ),
 )
 
 
