Tie a met claim to the fetch that it caused

A claim that a peer stated while an earlier fetch from it was under way counted as met once that fetch came, although the reply may have been older. If the fetch of the newer claim then failed, its changes were not fetched from that peer again.

--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -51,8 +51,6 @@
 REFUTED_RETENTION_S = 60.0
 
 ChangeDecoder = Callable[[SourceChange], DecodedChange | None]
-# Position and configuration version that a peer states.
-_Claim = tuple[Position, int]
 
 
 class DirectorySync:
@@ -72,9 +70,8 @@
         self._fetched_era = -1
         self._refuted_position: Position | None = None
         self._refuted_at = -math.inf
-        # What each peer stated when its changes were requested, and when they last came.
-        self._claim_by_target: dict[Endpoint, _Claim | None] = {}
-        self._met_claim_by_target: dict[Endpoint, _Claim | None] = {}
+        # What each peer had stated when its changes were requested that came last.
+        self._met_claim_by_target: dict[Endpoint, tuple[Position, int] | None] = {}
 
     def apply_source_changes(
         self, listing: SourceListing, is_full_listing: bool, now: float
@@ -122,9 +119,11 @@
             f'withdrawn={core.directory.withdraw_after(source_position)}',
         )
 
-    def apply_fetched_changes(self, fetched: DirectoryReply, target: Endpoint, now: float) -> None:
+    def apply_fetched_changes(
+        self, fetched: DirectoryReply, fetch: FetchDirectory, now: float
+    ) -> None:
         """Applies changes that were fetched from a peer."""
-        self._met_claim_by_target[target] = self._claim_by_target.pop(target, None)
+        self._met_claim_by_target[fetch.target] = fetch.claim
         if self._is_refuted(fetched.position, now):
             return
         self._fetched_era = max(self._fetched_era, fetched.era)
@@ -148,8 +147,7 @@
         if is_met or self._is_refuted(heartbeat.position, now):
             return
         if self.may_lack_changes_of(heartbeat):
-            self._claim_by_target[target] = claim
-            self.request_changes(target, now)
+            self.request_changes(target, now, claim)
 
     def may_lack_changes_of(self, heartbeat: FleetHeartbeat) -> bool:
         """Returns whether the sender of a heartbeat may hold changes that are missing here.
@@ -166,11 +164,20 @@
             or heartbeat.era > self._fetched_era
         )
 
-    def request_changes(self, target: Endpoint, now: float) -> None:
-        """Fetches newer changes from a peer, unless any peer was asked just before."""
+    def request_changes(
+        self, target: Endpoint, now: float, claim: tuple[Position, int] | None = None
+    ) -> None:
+        """Fetches newer changes from a peer, unless any peer was asked just before.
+
+        Args:
+            target: Endpoint of the peer.
+            now: Current time in seconds.
+            claim: Position and configuration version that its heartbeat stated, if any.
+        """
         if now - self._requested_at >= REQUEST_MIN_INTERVAL_S:
             self._requested_at = now
-            self._core.actions.append(FetchDirectory(target, self._core.directory.position))
+            position = self._core.directory.position
+            self._core.actions.append(FetchDirectory(target, position, claim))
 
     def handle_update(self, peer: InstanceId, update: DirectoryUpdate, now: float) -> None:
         """Applies changes that a peer sent, or requests the missing ones before them."""
--- a/berylstair/steering_action.py
+++ b/berylstair/steering_action.py
@@ -39,10 +39,15 @@
 
 
 class FetchDirectory(NamedTuple):
-    """Fetches the directory's changes after a position from another instance."""
+    """Fetches the directory's changes after a position from another instance.
+
+    Attributes:
+        claim: Position and configuration version that it stated; None without a heartbeat.
+    """
 
     target: Endpoint
     after: Position
+    claim: tuple[Position, int] | None = None
 
 
 SteeringAction = SendSegment | ResetCaller | SendMessage | FetchDirectory | LogEntry | Stopped
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -519,9 +519,7 @@
         if target in self.down_ips or is_frozen or (ip, target) in self.blocked_links:
             return
         reply = self.steering_by_ip[target].directory_sync.encode_changes_after(fetch.after)
-        self.steering_by_ip[ip].directory_sync.apply_fetched_changes(
-            reply, fetch.target, self.now_at(ip)
-        )
+        self.steering_by_ip[ip].directory_sync.apply_fetched_changes(reply, fetch, self.now_at(ip))
         self._perform_actions(ip, self.steering_by_ip[ip])
 
     def _instances_in_rotation(self, zone: ZoneId) -> list[str]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,13 +10,13 @@
 from testtools.matchers import Equals, Not
 
 from berylstair.catalogue import LogEvent
-from berylstair.directory import Position, SourceChange
+from berylstair.directory import START_POSITION, Position, SourceChange
 from berylstair.directory_source import SourceListing
 from berylstair.ids import Endpoint, InstanceId, ServiceName, ZoneId
 from berylstair.platform.items import decode_change
 from berylstair.shared_action import LogEntry
 from berylstair.steering import SteeringInstance
-from berylstair.steering_action import SendMessage, SendSegment
+from berylstair.steering_action import FetchDirectory, SendMessage, SendSegment
 from berylstair.steering_links import MAX_MESSAGE_BYTES
 from berylstair.steering_message import STEERING_CODEC
 from berylstair.steering_settings import Capacity, SteeringSettings, TimeLimits
@@ -87,7 +87,9 @@
         encoded = STEERING_CODEC.encode(reply)
         self.assertThat(len(encoded) < MAX_MESSAGE_BYTES // 100, Equals(True))
         peer.directory_sync.apply_fetched_changes(
-            STEERING_CODEC.decode(encoded), Endpoint('10.0.0.1', 7000), NOW
+            STEERING_CODEC.decode(encoded),
+            FetchDirectory(Endpoint('10.0.0.1', 7000), START_POSITION),
+            NOW,
         )
         for instance in (reader, peer):
             directory = instance.core.directory
