--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -152,13 +152,13 @@
         """Tells the reachable instances of a small fleet at which server a flow is open.
 
         Some of them may have offered the flow to another server. In a larger fleet
-        the dispatching instance knows which ones.
+        the dispatching instance knows which ones. It is told once the work has ended.
         """
         reachable = self._core.fleet.membership.reachable
         if len(reachable) > MAX_RELEASE_BROADCAST_PEERS:
             return
         row = ReleaseRow(flow.key, flow.service, Outcome.ENDED, flow.tag)
-        for peer in reachable:
+        for peer in reachable - {flow.dispatcher}:
             self._core.add_row(ReleaseBatch, peer, row)
 
     def handle_server_known(self, flow: TrackedFlow, now: float) -> None:
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -204,10 +204,11 @@
             The lease, None if the flow had none.
         """
         lease = self._remove(flow)
+        holders = lease.all_holders() if lease else set()
         previous = self._released_by_flow.get(flow)
         if previous is not None:
             tag = tag or previous.tag
-        holders = lease.all_holders() if lease else set()
+            holders |= previous.holders
         self._released_by_flow[flow] = _ReleasedFlow(now, tag, holders)
         if lease is None:
             return None
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -201,7 +201,8 @@
         ]
         table = self._core.assigner.lease_table(ServiceName(report.service))
         for released_flow in table.apply_report(peer, leases, now):
-            row = ReleaseRow(released_flow, report.service, Outcome.ENDED)
+            tag = table.tag_of_released(released_flow)
+            row = ReleaseRow(released_flow, report.service, Outcome.ENDED, tag)
             self._core.add_row(ReleaseBatch, peer, row)
 
     def _make_lease(
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -29,8 +29,8 @@
 APPLY_TIMEOUT_S = 1.0
 # A timer that runs this late shows that the process was paused or busy.
 LATE_TIMER_S = 0.01
-# Reads before a late timer; the sockets' buffers hold less than that.
-MAX_BACKLOG_READS = 1024
+# Reads before a late timer: some 4,000 segments, a tenth of a second of work.
+MAX_BACKLOG_READS = 64
 
 
 class SteeringLoop:
@@ -266,7 +266,7 @@
             f'revision={reply.revision} era={reply.era}',
         )
         sync = self._steering.directory_sync
-        self._run_work(lambda now: sync.apply_fetched_changes(reply, action.target, now))
+        self._run_work(lambda now: sync.apply_fetched_changes(reply, action, now))
 
     def _ready_page(self) -> tuple[HTTPStatus, str]:
         if self._steering.is_ready:
