Measure waits by the boot clock, whatever the process's time of day

The wait of a segment was the process's time of day less the kernel's stamp. With a process whose time of day is 2 s ahead of the kernel's, as the soak plays it, every opening segment counted as superseded. Change: only the difference between stamps and the boot clock counts, and the least one seen is that of a datagram that did not wait. A stamp that puts the arrival before the socket was last empty shows that the time of day was set back; the difference then begins anew.

--- a/berylstair/steering_ports.py
+++ b/berylstair/steering_ports.py
@@ -18,8 +18,8 @@
 from berylstair.udp import (
     MAX_DATAGRAM_BYTES,
     MAX_DATAGRAMS_PER_READ,
+    StampedReader,
     open_udp_socket,
-    receive_stamped,
 )
 
 __all__ = ['SegmentCodec', 'SteeringSockets']
@@ -73,7 +73,8 @@
         self._refusal_logged_at = -math.inf
         self._cached_message: object = None
         self._cached_data = b''
-        self.packet_socket = open_udp_socket(settings.packet_endpoint, stamps_arrivals=True)
+        self.packet_socket = open_udp_socket(settings.packet_endpoint)
+        self._packet_reader = StampedReader(self.packet_socket)
         self.peer_socket = open_udp_socket(settings.peer_endpoint)
 
     def read_segments(self) -> Iterator[tuple[Segment, float | None]]:
@@ -81,7 +82,7 @@
 
         The time is in seconds, and None where the kernel does not tell.
         """
-        for data, waited_s in receive_stamped(self.packet_socket):
+        for data, waited_s in self._packet_reader.receive():
             try:
                 yield self._segments.decode(data), waited_s
             except DecodeError:
--- a/berylstair/udp.py
+++ b/berylstair/udp.py
@@ -1,14 +1,20 @@
-"""Opens UDP sockets, and reads datagrams with the time of their arrival."""
+"""Opens UDP sockets, and reads datagrams with the time that they waited."""
 
 import socket
-import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from struct import Struct
 
 from berylstair.ids import Endpoint
+from berylstair.serving import boot_clock
 
-__all__ = ['MAX_DATAGRAMS_PER_READ', 'MAX_DATAGRAM_BYTES', 'open_udp_socket', 'receive_stamped']
+__all__ = [
+    'MAX_DATAGRAMS_PER_READ',
+    'MAX_DATAGRAM_BYTES',
+    'ArrivalClock',
+    'StampedReader',
+    'open_udp_socket',
+]
 
 MAX_DATAGRAMS_PER_READ = 64
 MAX_DATAGRAM_BYTES = 65536
@@ -22,12 +28,11 @@
 _S_PER_NS = 1e-9
 
 
-def open_udp_socket(endpoint: Endpoint, stamps_arrivals: bool = False) -> socket.socket:
+def open_udp_socket(endpoint: Endpoint) -> socket.socket:
     """Opens a non-blocking UDP socket.
 
     Args:
         endpoint: Address to bind.
-        stamps_arrivals: Whether the kernel is to stamp each datagram at its arrival.
 
     Returns:
         The bound socket.
@@ -36,40 +41,89 @@
     sock = socket.socket(family, socket.SOCK_DGRAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
-    if stamps_arrivals:
-        # Without stamps, the age of a datagram is unknown.
-        with suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, _SO_TIMESTAMPNS, 1)
     sock.setblocking(False)
     sock.bind(endpoint)
     return sock
 
 
-def receive_stamped(sock: socket.socket) -> Iterator[tuple[bytes, float | None]]:
-    """Yields the datagrams that have arrived, up to ``MAX_DATAGRAMS_PER_READ``.
+class ArrivalClock:
+    """Turns the kernel's arrival stamps, which are times of day, into waits.
 
-    Args:
-        sock: Socket that was opened with ``stamps_arrivals``.
-
-    Yields:
-        Each datagram, and the seconds since its arrival. These are None without a stamp,
-        or if the clock was set back since.
+    The time of day may be set, and a process may have another one than the kernel, so
+    only the difference between stamps and the boot clock counts: the least one seen is
+    that of a datagram that did not wait.
     """
-    for _ in range(MAX_DATAGRAMS_PER_READ):
-        try:
-            data, control, _flags, _sender = sock.recvmsg(MAX_DATAGRAM_BYTES, _CONTROL_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            # The error is an ICMP report about an earlier datagram, which is lost.
-            continue
-        yield data, _waited_s(control)
-
-
-def _waited_s(control: list[tuple[int, int, bytes]]) -> float | None:
-    for level, kind, stamp in control:
-        if (level, kind) == (socket.SOL_SOCKET, _SO_TIMESTAMPNS) and len(stamp) == _TIMESPEC.size:
-            seconds, nanoseconds = _TIMESPEC.unpack(stamp)
-            waited_s = time.time() - seconds - nanoseconds * _S_PER_NS
-            return waited_s if waited_s >= 0 else None
+
+    def __init__(self) -> None:
+        """Starts without a difference; the first datagram counts as one that did not wait."""
+        self._least_difference_s: float | None = None
+
+    def wait_s(self, stamp: float, read_at: float, emptied_at: float) -> float | None:
+        """Returns how long a datagram waited.
+
+        Args:
+            stamp: Arrival, as a time of day in seconds.
+            read_at: When it was read, on the boot clock.
+            emptied_at: When the socket was last seen empty, on the boot clock.
+
+        Returns:
+            Seconds; None if the stamp puts the arrival before ``emptied_at``, as after
+            the time of day was set back.
+        """
+        difference_s = read_at - stamp
+        least_s = self._least_difference_s
+        if least_s is None or difference_s < least_s:
+            self._least_difference_s = difference_s
+            return 0.0
+        if difference_s - least_s > read_at - emptied_at:
+            self._least_difference_s = difference_s
+            return None
+        return difference_s - least_s
+
+
+class StampedReader:
+    """Reads datagrams with the time that each waited at this machine."""
+
+    def __init__(self, sock: socket.socket, clock: Callable[[], float] = boot_clock) -> None:
+        """Asks the kernel to stamp the datagrams of a socket at their arrival."""
+        self._socket = sock
+        self._clock = clock
+        self._arrivals = ArrivalClock()
+        self._emptied_at = clock()
+        # Without stamps, the wait is unknown.
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, _SO_TIMESTAMPNS, 1)
+
+    def receive(self) -> Iterator[tuple[bytes, float | None]]:
+        """Yields the datagrams that have arrived, up to ``MAX_DATAGRAMS_PER_READ``.
+
+        Yields:
+            Each datagram, and the seconds that it waited, None if unknown.
+        """
+        for _ in range(MAX_DATAGRAMS_PER_READ):
+            called_at = self._clock()
+            try:
+                data, control, _flags, _sender = self._socket.recvmsg(
+                    MAX_DATAGRAM_BYTES, _CONTROL_BYTES
+                )
+            except BlockingIOError:
+                self._emptied_at = called_at
+                return
+            except OSError:
+                # The error is an ICMP report about an earlier datagram, which is lost.
+                continue
+            stamp = _find_stamp(control)
+            if stamp is None:
+                yield data, None
+            else:
+                yield data, self._arrivals.wait_s(stamp, self._clock(), self._emptied_at)
+
+
+def _find_stamp(control: list[tuple[int, int, bytes]]) -> float | None:
+    for level, kind, timespec in control:
+        if (level, kind) == (socket.SOL_SOCKET, _SO_TIMESTAMPNS) and len(
+            timespec
+        ) == _TIMESPEC.size:
+            seconds, nanoseconds = _TIMESPEC.unpack(timespec)
+            return float(seconds + nanoseconds * _S_PER_NS)
     return None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,12 @@
         FAULT_INJECTION_S,
         'a version under a revision that was given out before a restore was not in force',
     ),
+    (
+        19,
+        6,
+        FAULT_INJECTION_S,
+        'an instance whose time of day was ahead dropped all opening segments',
+    ),
     (
         18,
         6,
