Set aside servers that open flows and answer no request

Cause: a server that opens flows and answers nothing looked free whenever its leases expired, so it went on to get three flows each half second and all were lost. Only unanswered opening segments counted.

Change: the holder of a flow reports a first request without progress for longer than a straggler takes. The dispatching instance counts the reports; after two in a row, with no other request finished in between, the server is avoided and one flow per period (1 s, then 2 s) probes it. More than a third of a service's servers are never set aside. A segment now states the length of its data, which tells a request from an acknowledgement.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -16,6 +16,7 @@
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
+from berylstair.request_progress import StalledRequest, limit_set_aside
 from berylstair.server_selection import ServerCandidate, choose_server
 from berylstair.tag import tag_of
 from berylstair.wait_queue import PlacementRequest, WaitQueue
@@ -103,6 +104,15 @@
             len(state.lease_table.lease_by_flow) for state in self._state_by_service.values()
         )
 
+    @property
+    def set_aside_count(self) -> int:
+        """Number of servers that are set aside because they answer no request."""
+        return sum(
+            candidate.state.progress.is_suspect and not candidate.state.progress.is_excused
+            for state in self._state_by_service.values()
+            for candidate in state.candidates
+        )
+
     def lease_table(self, service: ServiceName) -> LeaseTable:
         """Returns the leases of a service."""
         return self._service_state(service).lease_table
@@ -152,6 +162,21 @@
         state.wait_queue.remove(flow)
         return state.lease_table.release(flow, outcome, now, tag)
 
+    def record_stalled_request(
+        self, service: ServiceName, request: StalledRequest, now: float
+    ) -> bool:
+        """Records a request without progress.
+
+        Returns:
+            Whether its server is set aside from now on and was not before.
+        """
+        state = self._service_state(service)
+        candidates = self._candidates(service, now)
+        is_new = state.lease_table.record_stalled_request(request, now)
+        limit_set_aside([candidate.state.progress for candidate in candidates])
+        progress = state.lease_table.server_state(request.backend).progress
+        return is_new and progress.is_set_aside(now)
+
     def add_lease(self, service: ServiceName, lease: Lease, now: float) -> None:
         """Counts a lease that another instance granted."""
         self._service_state(service).lease_table.add(lease, now)
@@ -316,6 +341,7 @@
             )
             for server in reachable or accepting
         ]
+        limit_set_aside([candidate.state.progress for candidate in state.candidates])
         state.slots = _count_usable_slots(state.candidates, now)
         return state.candidates
 
--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -46,6 +46,7 @@
     EJECTIONS = 'ejections'
     SOURCE_RESTORES = 'source_restores'
     CHANGES_IGNORED = 'changes_ignored'
+    REQUESTS_STALLED = 'requests_stalled'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
 
--- a/berylstair/flowtrack.py
+++ b/berylstair/flowtrack.py
@@ -62,6 +62,8 @@
         has_sent_reset: Whether a reset was sent to the caller; it may be lost.
         initial_acknowledged: Acknowledgement number of the segment that
             confirmed the server.
+        request_sent_at: When the first request was forwarded, None before that.
+        has_stalled: Whether that request was reported as stalled.
     """
 
     key: FlowKey
@@ -87,6 +89,8 @@
     copies_left: int = 0
     initial_acknowledged: int = 0
     has_sent_reset: bool = False
+    request_sent_at: float | None = None
+    has_stalled: bool = False
 
     @property
     def address(self) -> Endpoint:
@@ -107,9 +111,14 @@
         return [server for server in self.offered if server.id != own_id]
 
     def is_answered_by(self, segment: Segment) -> bool:
-        """Returns whether a segment shows that the caller has received part of the response."""
+        """Returns whether a segment shows that the caller has received part of the response.
+
+        A caller closes a flow after its answer, unless the request had stalled.
+        """
         acknowledged_bytes = (segment.acknowledged - self.initial_acknowledged) % SEQUENCE_SPACE
-        return segment.is_closing or 0 < acknowledged_bytes < _HALF_SEQUENCE_SPACE
+        if 0 < acknowledged_bytes < _HALF_SEQUENCE_SPACE:
+            return True
+        return segment.is_closing and not self.has_stalled
 
 
 class TrackedFlowTable:
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -12,6 +12,8 @@
 
 from berylstair.durations import Durations
 from berylstair.ids import BackendId, FlowKey, InstanceId
+from berylstair.request_progress import RequestProgress, StalledRequest, min_stall_s
+from berylstair.tag import tag_of
 
 __all__ = ['MAX_LEASE_S', 'Lease', 'LeaseTable', 'Outcome', 'ServerState']
 
@@ -109,6 +111,7 @@
 
     Attributes:
         slowness: Ratio of its work time to the mean, as of ``slowness_updated_at``.
+        progress: Whether it answers requests.
     """
 
     lease_count: int = 0
@@ -118,6 +121,7 @@
     avoided_until: float = 0.0
     last_leased_at: float = 0.0
     last_answered_at: float = -math.inf
+    progress: RequestProgress = field(default_factory=RequestProgress)
 
     def decayed_slowness(self, now: float) -> float:
         """Returns the ratio of the server's work time to the service's mean, decayed towards 1."""
@@ -127,11 +131,12 @@
         return 1 + (self.slowness - 1) * _HALF**half_lives
 
     def is_avoided(self, now: float) -> bool:
-        """Returns whether the server is avoided because it was unresponsive or too quick.
+        """Returns whether the server is avoided: unresponsive, too quick, or without answers.
 
         One flow per period is still sent to it as a trial.
         """
-        return now < self.avoided_until and self.is_suspect(now)
+        is_unresponsive = now < self.avoided_until and self.is_suspect(now)
+        return is_unresponsive or self.progress.is_set_aside(now)
 
     def is_suspect(self, now: float) -> bool:
         """Returns whether the server is unresponsive, or too quick to do any work.
@@ -150,6 +155,7 @@
 
     lease_by_flow: dict[FlowKey, Lease] = field(default_factory=dict)
     _state_by_backend: dict[BackendId, ServerState] = field(default_factory=dict)
+    _backend_by_tag: dict[int, BackendId] = field(default_factory=dict)
     _durations_by_route: dict[str, Durations] = field(default_factory=dict)
     _released_by_flow: dict[FlowKey, _ReleasedFlow] = field(default_factory=dict)
 
@@ -163,6 +169,7 @@
         if state is None:
             state = ServerState()
             self._state_by_backend[backend] = state
+            self._backend_by_tag[tag_of(backend)] = backend
         return state
 
     def mean_work_s(self, route_name: str = ALL_ROUTES) -> float:
@@ -183,6 +190,7 @@
         state = self.server_state(lease.backend)
         state.lease_count += 1
         state.last_leased_at = now
+        state.progress.record_lease(now)
         if state.is_suspect(now):
             self._start_avoidance(state, now)
 
@@ -210,6 +218,8 @@
             tag = tag or previous.tag
             holders |= previous.holders
         self._released_by_flow[flow] = _ReleasedFlow(now, tag, holders)
+        if outcome is Outcome.DONE:
+            self._record_finish(lease, tag, now)
         if lease is None:
             return None
         if outcome is Outcome.DONE:
@@ -226,6 +236,22 @@
         state.unanswered_offers = 0
         state.last_answered_at = now
 
+    def record_stalled_request(self, request: StalledRequest, now: float) -> bool:
+        """Records a request without progress.
+
+        It counts only if the usual work time of its kind is known and the request has
+        taken longer than a straggler.
+
+        Returns:
+            Whether its server is set aside from now on and was not before.
+        """
+        durations = self._durations_by_route.get(request.route_name)
+        if durations is None or not durations.has_enough_samples:
+            return False
+        if now - request.sent_at < min_stall_s(durations.mean_s):
+            return False
+        return self.server_state(request.backend).progress.record_stall(request, now)
+
     def has_answered_since(self, lease: Lease) -> bool:
         """Returns whether the lease's server has answered any flow since the lease began.
 
@@ -326,6 +352,13 @@
         if state.slowness < FAST_FAILURE_RATIO:
             self._start_avoidance(state, now)
 
+    def _record_finish(self, lease: Lease | None, tag: int, now: float) -> None:
+        """Records that a server has finished a flow, whose lease may have expired."""
+        backend = lease.backend if lease else self._backend_by_tag.get(tag)
+        state = self._state_by_backend.get(backend) if backend else None
+        if state is not None:
+            state.progress.record_finish(now)
+
     def _route_durations(self, route_name: str) -> Durations:
         durations = self._durations_by_route.get(route_name)
         if durations is None:
--- a/berylstair/log.py
+++ b/berylstair/log.py
@@ -24,6 +24,7 @@
         LogEvent.PEER_REFUSED,
         LogEvent.MESSAGE_REFUSED,
         LogEvent.BACKEND_EJECTED,
+        LogEvent.SERVER_SET_ASIDE,
     ),
 )
 
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -27,12 +27,14 @@
 from berylstair.probing import PROBE_INTERVAL_S
 from berylstair.segment import Segment
 from berylstair.shared_action import Stopped
+from berylstair.stall_protocol import StallProtocol
 from berylstair.steering_action import SendSegment, SteeringAction
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
     DirectoryUpdate,
     FleetHeartbeat,
     PeerLost,
+    StalledRequestBatch,
 )
 from berylstair.steering_settings import SteeringSettings
 
@@ -80,6 +82,7 @@
         self._backlog_until = -math.inf
         self._is_directory_stale = False
         self._placement = PlacementProtocol(self.core, self._flow_opener)
+        self._stalls = StallProtocol(self.core)
         self.directory_sync = DirectorySync(self.core, decode_change)
         self._liveness = LivenessProtocol(self.core, self._placement, self.directory_sync)
         self._handler_by_message_type: Mapping[
@@ -87,6 +90,7 @@
         ] = {
             DirectoryUpdate: self.directory_sync.handle_update,
             PeerLost: self._liveness.handle_peer_lost,
+            StalledRequestBatch: self._stalls.handle_batch,
         }
         for period_s, task in (
             (FLEET_HEARTBEAT_INTERVAL_S, self._liveness.send_periodic_heartbeat),
@@ -141,6 +145,7 @@
         self._flow_opener.handle_caller_segment(flow, segment)
         if flow.phase is FlowPhase.OPEN:
             self._check_flow_end(flow, segment, now)
+            self._stalls.watch_request(flow, segment, now)
 
     def handle_message(self, ip: str, message: Any, now: float) -> None:
         """Handles a message from another instance.
@@ -320,7 +325,7 @@
     def _check_flow_end(self, flow: TrackedFlow, segment: Segment, now: float) -> None:
         """Reports the end of a flow's work if a segment shows an answer, a close or a reset."""
         is_answered = flow.is_answered_by(segment)
-        if not is_answered and not segment.is_reset:
+        if not is_answered and not segment.is_reset and not segment.is_closing:
             return
         outcome = Outcome.DONE if is_answered and not segment.is_reset else Outcome.ENDED
         flow.phase = FlowPhase.OVER
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -31,6 +31,8 @@
     'PlacementRequestRow',
     'ReleaseBatch',
     'ReleaseRow',
+    'StalledRequestBatch',
+    'StalledRequestRow',
     'decode_change_rows',
     'encode_change_rows',
 ]
@@ -90,6 +92,20 @@
     tag: int = 0
 
 
+class StalledRequestRow(NamedTuple):
+    """An open flow whose first request shows no progress.
+
+    Attributes:
+        age_ms: Time since the request was forwarded to the server.
+    """
+
+    flow: bytes
+    service: str
+    backend: str
+    route_name: str
+    age_ms: int
+
+
 class LeaseRow(NamedTuple):
     """A flow that the sender holds open on a server."""
 
@@ -188,6 +204,12 @@
     rows: tuple[ReleaseRow, ...]
 
 
+class StalledRequestBatch(NamedTuple):
+    """Tells a dispatching instance which requests show no progress."""
+
+    rows: tuple[StalledRequestRow, ...]
+
+
 class LeaseReport(NamedTuple):
     """All flows of one service that the sender holds open."""
 
@@ -252,6 +274,7 @@
     DirectoryReply,
     DirectoryUpdate,
     PeerLost,
+    StalledRequestBatch,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
@@ -259,6 +282,7 @@
     (PlacementReplyBatch, 'rows'): PlacementReplyRow,
     (ReleaseBatch, 'rows'): ReleaseRow,
     (LeaseReport, 'rows'): LeaseRow,
+    (StalledRequestBatch, 'rows'): StalledRequestRow,
     (DirectoryReply, 'rows'): DirectoryChangeRow,
     (DirectoryUpdate, 'rows'): DirectoryChangeRow,
 }
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -62,6 +62,11 @@
                 'Flows waiting for a slot at this dispatching instance.',
                 core.assigner.waiting_count,
             ),
+            (
+                'servers_set_aside',
+                'Servers set aside here because they open flows and answer no request.',
+                core.assigner.set_aside_count,
+            ),
             ('leases', 'Leases counted by this dispatching instance.', core.assigner.lease_count),
             (
                 'peers_reachable',
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -47,6 +47,7 @@
 ACCEPT_REPEATED_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 SOURCE_CONFIRMATION_INTERVAL_S = 0.5
 MIN_TIMER_DELAY_S = 0.0001
+REQUEST_BYTES = 100
 
 
 @dataclass(slots=True)
@@ -86,6 +87,7 @@
         accept_delay_s: Delay of its answer to an opening segment, beyond the
             network delay.
         is_dead: Whether it drops all segments; work in progress still ends.
+        is_silent: Whether it opens flows and answers no request.
         open_flows: Keys of the flows that it holds.
         tag_by_flow: Tag of the last segment received of each flow, which it sends.
         opening_count_by_flow: Opening segments received, by flow key.
@@ -97,6 +99,7 @@
     slowness: float = 1.0
     accept_delay_s: float = 0.0
     is_dead: bool = False
+    is_silent: bool = False
     busy_slots: int = 0
     queued_flows: list[CallerFlow] = field(default_factory=list)
     open_flows: set[FlowKey] = field(default_factory=set)
@@ -379,7 +382,8 @@
 
     def send_next_request(self, flow: CallerFlow) -> None:
         """Sends a further request on an open flow, with the tag that its caller has."""
-        self._send_from_caller(flow, self._make_segment(flow)._replace(sequence=9))
+        segment = self._make_segment(flow)._replace(sequence=9, data_length=REQUEST_BYTES)
+        self._send_from_caller(flow, segment)
 
     def repeat_accept(self, flow: CallerFlow, server: SimulatedServer) -> None:
         """Delivers to a flow's caller another accept, which may be of another server."""
@@ -623,6 +627,8 @@
     def _finish_work(self, server: SimulatedServer, flow: CallerFlow) -> None:
         server.busy_slots -= 1
         self._start_queued_flows(server)
+        if server.is_silent:
+            return
         tag = server.tag_by_flow[flow.key]
         self.schedule(CALLER_DELAY_S, lambda: self._handle_response(flow, tag))
 
@@ -636,7 +642,9 @@
         if flow.backend_id is None:
             flow.backend_id = server.backend_server.id
             flow.acknowledged = sequence + 1
-            self._send_from_caller(flow, self._make_segment(flow))
+            self._send_from_caller(
+                flow, self._make_segment(flow)._replace(data_length=REQUEST_BYTES)
+            )
 
     def _handle_response(self, flow: CallerFlow, tag: int) -> None:
         flow.tag = tag
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -571,6 +571,24 @@
         'no_answer_time',
         'tests/test_peer_numbers.py',
     ),
+    MutationCase(
+        'platform: silent servers',
+        'servers that answer no request are set aside',
+        'request_progress',
+        'return self.is_suspect and not self.is_excused and now < self.avoided_until',
+        'return False',
+        'silent_server_loses',
+        'tests/test_request_progress.py',
+    ),
+    MutationCase(
+        'platform: silent servers',
+        'at most a third of the servers is set aside',
+        'request_progress',
+        'is_excused = suspects * _SERVERS_PER_SET_ASIDE > len(servers)',
+        'is_excused = False',
+        'at_most_a_third or half_of_the_servers',
+        'tests/test_request_progress.py',
+    ),
 )
 
 
