Hold evacuated zones in the directory

Cause: an operator who evacuates a zone writes op/evacuate/ZONE. Instances ignored the key and went on opening flows at the servers of the zone.

Change: the key is decoded as an evacuation, its removal as the zone being taken back, whatever the value is; a zone that no server's entry can name is not used. It is a content of the directory like any other, ordered by its position. Servers of an evacuated zone are not among the accepting ones; their tags still resolve. The servers of a zone that is taken back count as cold for 2 s at least (mark_zone_cold, which the limit for cold servers replaces). bounds.evac_ms counts in the time within which changes have to be in force.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -6,7 +6,8 @@
 from types import NoneType
 from typing import Any, NamedTuple
 
-from berylstair.ids import BackendId, Endpoint, ServiceName
+from berylstair.evacuation import EvacuationTable
+from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId
 from berylstair.record import BackendServer
 from berylstair.tag import tag_of
 
@@ -23,10 +24,14 @@
     'ServerRemoved',
     'SourceChange',
     'WriterVersion',
+    'ZoneEvacuated',
+    'ZoneTakenBack',
 ]
 
 # A removed server is kept this much longer than its last flow may last.
 REMOVED_SERVER_MARGIN_S = 15.0
+# Least time for which the servers of a zone that was taken back count as cold.
+TAKEN_BACK_COLD_S = 2.0
 
 
 class Position(NamedTuple):
@@ -150,7 +155,21 @@
     configuration: Configuration
 
 
-DecodedChange = ServerListed | ServerRemoved | ConfigurationPublished
+class ZoneEvacuated(NamedTuple):
+    """The operator evacuates a zone: its servers get no new flows."""
+
+    zone: ZoneId
+
+
+class ZoneTakenBack(NamedTuple):
+    """The operator has ended the evacuation of a zone."""
+
+    zone: ZoneId
+
+
+DecodedChange = (
+    ServerListed | ServerRemoved | ConfigurationPublished | ZoneEvacuated | ZoneTakenBack
+)
 
 
 @dataclass(slots=True)
@@ -175,7 +194,8 @@
 
     Attributes:
         accepting: Servers that may get new flows.
-        recompute_at: When the next removed server stops accepting flows.
+        recompute_at: When the next removed server stops accepting flows; in the past
+            once a zone was evacuated or taken back.
     """
 
     accepting: tuple[BackendServer, ...] = ()
@@ -190,11 +210,12 @@
     source may go back to older contents. Where the source orders two contents of
     a server's entry, the later position wins, else the higher version of the
     writer. Of two configurations the higher version wins. A removal wins over
-    all contents at lower positions.
+    all contents at lower positions. Of an evacuation and its end the later position wins.
 
     Attributes:
         position: Position of the source up to which every change was applied.
         advanced_at: When that position was reached, in seconds.
+        evacuations: Zones that are evacuated.
     """
 
     def __init__(self) -> None:
@@ -207,6 +228,9 @@
         self._pool_by_service: dict[ServiceName, _ServicePool] = {}
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
+        self._ids_by_zone: dict[ZoneId, set[BackendId]] = {}
+        self.evacuations = EvacuationTable()
+        self._cold_until_by_zone: dict[ZoneId, float] = {}
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -244,7 +268,8 @@
             source_change: The change as the source wrote it.
             change: The same change decoded; None for a key that is not used.
             now: Current time in seconds.
-            grace_s: Seconds for which a removed server may still get new flows.
+            grace_s: Seconds for which a removed server may still get new flows, and
+                for which an evacuation that was removed stays in force.
 
         Returns:
             Whether it was newer than what was held.
@@ -262,14 +287,51 @@
                 )
             return False
         self._change_by_key[versioned.key] = versioned
-        if isinstance(change, ServerListed):
-            self._add_server(change.registration, now)
-        elif isinstance(change, ServerRemoved):
-            self._remove_server(change.backend, now, grace_s)
-        elif isinstance(change, ConfigurationPublished):
-            self._apply_configuration(change.configuration)
+        if isinstance(change, (ZoneEvacuated, ZoneTakenBack)):
+            self._apply_evacuation(change, now, grace_s)
+        else:
+            self._apply_content(change, now, grace_s)
         return True
 
+    def end_evacuations(self, now: float) -> None:
+        """Takes back the zones whose evacuation has ended by a time in seconds."""
+        for zone in self.evacuations.remove_ended(now):
+            self.mark_zone_cold(zone, now)
+            self._invalidate_accepting()
+
+    def is_evacuated(self, zone: ZoneId) -> bool:
+        """Returns whether nothing new may be sent to the servers of a zone."""
+        return zone in self.evacuations
+
+    def is_server_evacuated(self, backend: BackendId) -> bool:
+        """Returns whether a server is in an evacuated zone, by its latest entry."""
+        entry = self._entry_by_id.get(backend)
+        return entry is not None and entry.registration.server.zone in self.evacuations
+
+    def may_open_at(self, server: BackendServer) -> bool:
+        """Returns whether an opening segment may be sent to a server.
+
+        Args:
+            server: A server as it was registered when it was chosen; its entry may
+                name another zone by now.
+        """
+        if not self.evacuations:
+            return True
+        return server.zone not in self.evacuations and not self.is_server_evacuated(server.id)
+
+    def count_servers(self, zone: ZoneId) -> int:
+        """Returns the number of registered servers in a zone."""
+        entries = (self._entry_by_id[backend] for backend in self._ids_by_zone.get(zone, ()))
+        return sum(entry.removed_at is None for entry in entries)
+
+    def mark_zone_cold(self, zone: ZoneId, now: float) -> None:
+        """Lets the servers of a zone count as cold from now on, whatever their entries say."""
+        cold_until = now + TAKEN_BACK_COLD_S
+        self._cold_until_by_zone[zone] = cold_until
+        for backend in self._ids_by_zone.get(zone, ()):
+            entry = self._entry_by_id[backend]
+            entry.warmup_until = max(entry.warmup_until, cold_until)
+
     def advance(self, position: Position, now: float) -> None:
         """Records that every change up to a position has been applied."""
         if position > self.position:
@@ -393,6 +455,7 @@
         ]
         for backend in expired:
             entry = self._entry_by_id.pop(backend)
+            self._remove_from_zone(entry.registration.server)
             self._pool_by_service[entry.registration.service].entry_by_id.pop(backend, None)
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
@@ -409,7 +472,15 @@
         if previous is not None and previous.registration.service != registration.service:
             self._pool_by_service[previous.registration.service].entry_by_id.pop(backend, None)
             self._recompute_accepting(previous.registration.service, now)
-        entry = _ServerEntry(registration, now + registration.warmup_left_s)
+        if previous is not None:
+            self._remove_from_zone(previous.registration.server)
+        zone = registration.server.zone
+        self._ids_by_zone.setdefault(zone, set()).add(backend)
+        # Each status report is a new entry; the zone's servers stay cold all the same.
+        warmup_until = max(
+            now + registration.warmup_left_s, self._cold_until_by_zone.get(zone, -math.inf)
+        )
+        entry = _ServerEntry(registration, warmup_until)
         self._entry_by_id[backend] = entry
         self._entries_by_tag.setdefault(tag_of(backend), {})[backend] = entry
         pool = self._pool_by_service.setdefault(registration.service, _ServicePool())
@@ -424,6 +495,35 @@
         entry.accepts_until = now + grace_s
         self._recompute_accepting(entry.registration.service, now)
 
+    def _apply_content(self, change: DecodedChange | None, now: float, grace_s: float) -> None:
+        if isinstance(change, ServerListed):
+            self._add_server(change.registration, now)
+        elif isinstance(change, ServerRemoved):
+            self._remove_server(change.backend, now, grace_s)
+        elif isinstance(change, ConfigurationPublished):
+            self._apply_configuration(change.configuration)
+
+    def _apply_evacuation(
+        self, change: ZoneEvacuated | ZoneTakenBack, now: float, grace_s: float
+    ) -> None:
+        if isinstance(change, ZoneEvacuated):
+            self.evacuations.begin(change.zone)
+            self._invalidate_accepting()
+        else:
+            self.evacuations.end(change.zone, now + grace_s)
+            self.end_evacuations(now)
+
+    def _remove_from_zone(self, server: BackendServer) -> None:
+        zone_ids = self._ids_by_zone[server.zone]
+        zone_ids.discard(server.id)
+        if not zone_ids:
+            self._ids_by_zone.pop(server.zone)
+
+    def _invalidate_accepting(self) -> None:
+        """Lets the accepting servers of each service be computed when they are asked for next."""
+        for pool in self._pool_by_service.values():
+            pool.recompute_at = -math.inf
+
     def _recompute_accepting(self, service: ServiceName, now: float) -> None:
         """Recomputes which servers of a service accept new flows.
 
@@ -443,6 +543,7 @@
             entry.registration.server
             for entry in (*registered, *in_grace)
             if entry.registration.server.is_accepting
+            and entry.registration.server.zone not in self.evacuations
         )
 
 
@@ -498,4 +599,6 @@
     ServerRemoved: _is_later,
     ServerListed: _is_newer_registration,
     ConfigurationPublished: _has_higher_version,
+    ZoneEvacuated: _is_later,
+    ZoneTakenBack: _is_later,
 }
--- a/berylstair/directory_sync.py
+++ b/berylstair/directory_sync.py
@@ -14,6 +14,7 @@
 )
 from berylstair.directory_source import SourceListing
 from berylstair.errors import DecodeError, ErrorKind
+from berylstair.evacuation_monitor import EvacuationMonitor
 from berylstair.ids import Endpoint, InstanceId
 from berylstair.steering_action import FetchDirectory, SendMessage
 from berylstair.steering_core import SteeringCore
@@ -65,6 +66,7 @@
         """
         self._core = core
         self._decode_change = decode_change
+        self._evacuation_monitor = EvacuationMonitor(core)
         self._source_recovered_at = -SOURCE_RECOVERY_GRACE_S
         self._requested_at = -REQUEST_MIN_INTERVAL_S
         self._fetched_era = -1
@@ -234,6 +236,7 @@
         if is_restored:
             self._finish_restore(previous, position, now)
         directory.advance(position, now)
+        self._evacuation_monitor.update(now)
         if previous != START_POSITION and directory.position != previous:
             self._propagate_changes(previous, fanout, now)
         return True
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -14,16 +14,20 @@
     ServerRegistration,
     ServerRemoved,
     SourceChange,
+    ZoneEvacuated,
+    ZoneTakenBack,
 )
 from berylstair.errors import DecodeError
 from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId, parse_endpoint
 from berylstair.platform.packet import backend_number
 from berylstair.record import BackendServer, BackendState
 
-__all__ = ['CONFIGURATION_KEY', 'decode_change']
+__all__ = ['CONFIGURATION_KEY', 'EVACUATION_PREFIX', 'decode_change']
 
 SERVER_PREFIX = 'servers/'
 CONFIGURATION_KEY = 'op/config'
+# The zone follows; while the item exists, whatever its value, the zone is evacuated.
+EVACUATION_PREFIX = 'op/evacuate/'
 # The fault of an entry quotes it, and entries may be long.
 _MAX_FAULT_CHARS = 120
 _MS_PER_S = 1000
@@ -59,6 +63,10 @@
         return _decode_server(
             BackendId(source_change.key[len(SERVER_PREFIX) :]), source_change.value
         )
+    if source_change.key.startswith(EVACUATION_PREFIX):
+        return _decode_evacuation(
+            source_change.key[len(EVACUATION_PREFIX) :], source_change.value is not None
+        )
     if source_change.key == CONFIGURATION_KEY and source_change.value is not None:
         try:
             return ConfigurationPublished(_decode_configuration(json.loads(source_change.value)))
@@ -79,6 +87,15 @@
         return ServerRemoved(backend, _describe_fault(error))
 
 
+def _decode_evacuation(zone: str, is_evacuated: bool) -> DecodedChange | None:
+    """Decodes an evacuation; one of a zone that no server's entry can name is not used."""
+    try:
+        zone_id = ZoneId(_require_name(zone))
+    except ValueError:
+        return None
+    return ZoneEvacuated(zone_id) if is_evacuated else ZoneTakenBack(zone_id)
+
+
 def _describe_fault(error: Exception) -> str:
     return ascii(error)[:_MAX_FAULT_CHARS]
 
--- a/berylstair/platform/settings.py
+++ b/berylstair/platform/settings.py
@@ -76,10 +76,12 @@
 
 
 def _decode_time_limits(bounds: Mapping[str, Any], heartbeat_interval_s: float) -> TimeLimits:
+    evacuation_ms = bounds.get('evac_ms')
     return TimeLimits(
         drain_s=bounds['drain_ms'] / _MS_PER_S,
         config_apply_s=bounds['config_apply_ms'] / _MS_PER_S,
         stop_grace_s=float(bounds['grace_s']),
         max_flow_s=float(bounds['max_flow_s']),
         entry_expiry_s=heartbeat_interval_s * _HEARTBEATS_TO_EXPIRE,
+        evacuation_s=None if evacuation_ms is None else evacuation_ms / _MS_PER_S,
     )
--- a/berylstair/platform/store.py
+++ b/berylstair/platform/store.py
@@ -17,7 +17,7 @@
 )
 from berylstair.errors import SourceError
 from berylstair.ids import Endpoint
-from berylstair.platform.items import CONFIGURATION_KEY
+from berylstair.platform.items import CONFIGURATION_KEY, EVACUATION_PREFIX
 
 __all__ = ['StoreSource']
 
@@ -232,4 +232,7 @@
     if value is not None and key != CONFIGURATION_KEY and len(value) > MAX_ENTRY_BYTES:
         # A listing may hold many of them, and none is an entry of a server.
         value = b''
+    if value is not None and key.startswith(EVACUATION_PREFIX):
+        # Only the key counts, so the instances need not pass the value on.
+        value = b''
     return SourceChange(key, Position(era, int(entry['rev'])), value)
--- a/berylstair/steering_settings.py
+++ b/berylstair/steering_settings.py
@@ -43,6 +43,8 @@
         max_flow_s: Age at which a flow may be discarded.
         entry_expiry_s: Silence after which a server's entry expires; a source that
             was unavailable for less time has lost no entry.
+        evacuation_s: Time within which the servers of an evacuated zone must get no
+            more new flows; None if the operator states no limit.
     """
 
     drain_s: float
@@ -50,11 +52,13 @@
     stop_grace_s: float
     max_flow_s: float
     entry_expiry_s: float
+    evacuation_s: float | None = None
 
     @property
     def propagation_s(self) -> float:
         """Time within which any change of the directory must be in force."""
-        return min(self.drain_s, self.config_apply_s)
+        stated = (self.drain_s, self.config_apply_s, self.evacuation_s)
+        return min(limit_s for limit_s in stated if limit_s is not None)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -12,9 +12,11 @@
     ServerListed,
     ServerRemoved,
     SourceChange,
+    ZoneEvacuated,
+    ZoneTakenBack,
 )
 from berylstair.errors import DecodeError
-from berylstair.ids import Endpoint
+from berylstair.ids import Endpoint, ZoneId
 from berylstair.platform.items import decode_change
 
 POSITION = Position(1, 5)
@@ -95,6 +97,35 @@
         self.assertThat(change.registration.server.is_accepting, Equals(False))
 
 
+class EvacuationTest(TestCase):
+    """Items that evacuate a zone: the key counts, not the value."""
+
+    def test_any_value_evacuates_and_a_removal_takes_back(self) -> None:
+        # Guards against an evacuation that is ignored because of what stands in the item.
+        zone = ZoneId('tame-side')
+        for value in (b'{}', b'', b'null', b'false', b'\xff\x00', b'[' * 100_000):
+            change = decode_change(SourceChange('op/evacuate/tame-side', POSITION, value))
+            self.assertThat(change, Equals(ZoneEvacuated(zone)))
+        change = decode_change(SourceChange('op/evacuate/tame-side', POSITION, None))
+        self.assertThat(change, Equals(ZoneTakenBack(zone)))
+
+    def test_every_zone_that_an_entry_can_name_can_be_evacuated(self) -> None:
+        # Guards against a zone whose servers are in use although its item is there.
+        names = ('a/b', 'a/', '/a', ' ', 'a b', 'zone-\u00e9', '..', 'x' * 200, 'op/evacuate/')
+        for name in (*names, '', 'a\nb', '\u00a0', '\ud800', 'x' * 201):
+            entry = decode_server(json.dumps(ENTRY | {'zone': name}).encode())
+            is_usable = isinstance(entry, ServerListed)
+            item = decode_change(SourceChange(f'op/evacuate/{name}', POSITION, b'{}'))
+            with self.subTest(name=name):
+                self.assertThat(is_usable, Equals(name in names))
+                self.assertThat(item, Equals(ZoneEvacuated(ZoneId(name)) if is_usable else None))
+
+    def test_similar_keys_evacuate_nothing(self) -> None:
+        for key in ('op/evacuate', 'op/evacuated/tame-side', 'OP/evacuate/a', 'op/evacuate/'):
+            change = decode_change(SourceChange(key, POSITION, b'{}'))
+            self.assertThat(change, Equals(None))
+
+
 class ConfigurationTest(TestCase):
     """The operator's configuration."""
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -49,6 +49,21 @@
         self.assertThat(round(settings.capacity.cores, 3), Equals(1.074))
         self.assertThat(round(settings.time_limits.entry_expiry_s, 3), Equals(3.6))
 
+    def test_the_bound_for_evacuations_is_optional_and_counts_for_the_propagation(self) -> None:
+        # Guards against a directory that is read too seldom for a short bound.
+        for evacuation_ms, evacuation_s, propagation_s in (
+            (None, None, 3.0),
+            (5000, 5.0, 3.0),
+            (800, 0.8, 0.8),
+        ):
+            bounds = VALID_SETTINGS['bounds'] | {'evac_ms': evacuation_ms}
+            limits = load(VALID_SETTINGS | {'bounds': bounds}).time_limits
+            self.assertThat(limits.evacuation_s, Equals(evacuation_s))
+            self.assertThat(limits.propagation_s, Equals(propagation_s))
+        self.assertThat(load(VALID_SETTINGS).time_limits.evacuation_s, Equals(None))
+        bounds = VALID_SETTINGS['bounds'] | {'evac_ms': 'soon'}
+        self.assertRaises(ConfigurationError, load, VALID_SETTINGS | {'bounds': bounds})
+
     def test_errors_name_the_field(self) -> None:
         for key in ('node_id', 'ip', 'zone', 'listen', 'internal_ports', 'bounds', 'platform'):
             partial = {name: VALID_SETTINGS[name] for name in VALID_SETTINGS if name != key}
