Send no opening segment to an evacuated zone

Cause: besides the choice of a server, opening segments reach one as a forwarded retransmission and as a copy that corrects a tag. A late opening of a flow that is open in the zone would get a second server, whose answer changes the flow's tag.

Change: a retransmission is not forwarded to an evacuated server: a flow that was not answered is placed again, one that is open has no use for it. Copies that correct tags skip such servers. The holder of a late opening waits until its caller sends no further one. Waiting flows are refused at once if no server is left. Gauges show evacuated zones and the leases on their servers.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -16,6 +16,7 @@
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
+from berylstair.segment import service_address
 from berylstair.server_selection import ServerCandidate, choose_server
 from berylstair.tag import tag_of
 from berylstair.wait_queue import PlacementRequest, WaitQueue
@@ -103,6 +104,15 @@
             len(state.lease_table.lease_by_flow) for state in self._state_by_service.values()
         )
 
+    @property
+    def evacuated_lease_count(self) -> int:
+        """Number of leases counted here on servers of evacuated zones."""
+        return sum(
+            self._directory.is_server_evacuated(lease.backend)
+            for state in self._state_by_service.values()
+            for lease in state.lease_table.lease_by_flow.values()
+        )
+
     def lease_table(self, service: ServiceName) -> LeaseTable:
         """Returns the leases of a service."""
         return self._service_state(service).lease_table
@@ -202,6 +212,11 @@
     ) -> Iterable[PlacementResult]:
         state.lease_table.prune_expired(now)
         candidates = self._candidates(service, now)
+        if not candidates and self._directory.evacuations:
+            # No slot of the evacuated zones becomes free while their callers wait.
+            for stranded in list(state.wait_queue.request_by_flow.values()):
+                state.wait_queue.remove(stranded.flow)
+                yield PlacementResult(stranded, PlacementDecision.REFUSED)
         while True:
             request = state.wait_queue.select_next(
                 state.lease_table.mean_work_s(), state.slots, now
@@ -276,6 +291,11 @@
         tag = state.lease_table.tag_of_released(request.flow)
         if not tag:
             return None
+        opened = self._directory.find_by_tag(tag, service_address(request.flow))
+        if opened is not None and not self._directory.may_open_at(opened.server):
+            # Another server's answer would change the tag of the open flow, and a refusal
+            # would reset it. The holder waits until its caller sends no further opening.
+            return PlacementResult(request, PlacementDecision.WAITING)
         for candidate in candidates:
             if tag_of(candidate.server.id) == tag:
                 lease_count = candidate.state.lease_count
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -223,9 +223,20 @@
         else:
             self._forward_retransmission(flow, segment, now)
 
-    def _forward_retransmission(self, flow: TrackedFlow, segment: Segment, _now: float) -> None:
-        if flow.server is not None:
+    def _forward_retransmission(self, flow: TrackedFlow, segment: Segment, now: float) -> None:
+        """Forwards a retransmission to the flow's server, unless its zone is evacuated.
+
+        A flow that the server has not answered is then placed again. An open one has no
+        use for the retransmission.
+        """
+        if flow.server is None:
+            return
+        if self._core.directory.may_open_at(flow.server):
             self._core.actions.append(SendSegment(flow.server, segment, flow.tag))
+        elif flow.phase is FlowPhase.OFFERED:
+            self._request_another_server(flow, now)
+        else:
+            self._drop_retransmission(flow, segment, now)
 
     def _open_flow(self, segment: Segment, now: float, waited_s: float) -> None:
         core = self._core
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -63,6 +63,12 @@
                 core.assigner.waiting_count,
             ),
             ('leases', 'Leases counted by this dispatching instance.', core.assigner.lease_count),
+            ('evacuated_zones', 'Evacuated zones.', len(core.directory.evacuations)),
+            (
+                'evacuated_leases',
+                'Leases counted by this dispatching instance on servers of evacuated zones.',
+                core.assigner.evacuated_lease_count,
+            ),
             (
                 'peers_reachable',
                 'Other instances that are reachable.',
--- a/berylstair/tag_correction.py
+++ b/berylstair/tag_correction.py
@@ -49,6 +49,9 @@
         for _ in range(min(len(others), MAX_COPIES_AT_ONCE, flow.copies_left)):
             flow.copies_left -= 1
             server = others[flow.copies_left % len(others)]
+            if not self._core.directory.may_open_at(server):
+                # A copy is an opening segment, which no server of an evacuated zone may get.
+                continue
             self._core.actions.append(SendSegment(server, flow.opening_segment, flow.tag))
             self._core.counters.record_retry(RetryReason.TAG_CORRECTED)
 
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -19,6 +19,8 @@
     ServerRegistration,
     ServerRemoved,
     SourceChange,
+    ZoneEvacuated,
+    ZoneTakenBack,
 )
 from berylstair.directory_source import SourceListing
 from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName, ZoneId
@@ -47,6 +49,7 @@
 ACCEPT_REPEATED_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 SOURCE_CONFIRMATION_INTERVAL_S = 0.5
 MIN_TIMER_DELAY_S = 0.0001
+EVACUATION_PREFIX = 'evacuations/'
 
 
 @dataclass(slots=True)
@@ -305,6 +308,24 @@
         """Removes a server's entry from the store."""
         self.publish(f'servers/{backend}', ServerRemoved(backend))
 
+    def evacuate_zone(self, number: int, only_ip: str = '') -> None:
+        """Writes the evacuation of a zone to the store, which one instance or all read."""
+        zone = self._zones[number]
+        self.publish(f'{EVACUATION_PREFIX}{zone}', ZoneEvacuated(zone), only_ip)
+
+    def take_zone_back(self, number: int, only_ip: str = '') -> None:
+        """Removes the evacuation of a zone from the store."""
+        zone = self._zones[number]
+        self.publish(f'{EVACUATION_PREFIX}{zone}', ZoneTakenBack(zone), only_ip)
+
+    def count_openings(self, number: int) -> int:
+        """Returns the number of opening segments that the servers of a zone have received."""
+        return sum(
+            server.opening_count_by_flow.total()
+            for server in self.server_by_id.values()
+            if server.backend_server.zone == self._zones[number]
+        )
+
     def publish(self, key: str, change: DecodedChange, only_ip: str = '') -> None:
         """Writes a change to the store, which running instances read.
 
@@ -315,7 +336,7 @@
         """
         era, revision = self.source_position
         self.source_position = Position(era, revision + 1)
-        if isinstance(change, ServerRemoved):
+        if isinstance(change, (ServerRemoved, ZoneTakenBack)):
             source_change = SourceChange(key, self.source_position, None)
             self.source_items.pop(key, None)
         else:
@@ -381,6 +402,15 @@
         """Sends a further request on an open flow, with the tag that its caller has."""
         self._send_from_caller(flow, self._make_segment(flow)._replace(sequence=9))
 
+    def deliver_segment(self, ip: str, segment: Segment) -> None:
+        """Delivers a caller's segment to an instance; a frozen one handles it when it wakes."""
+        if ip in self.down_ips:
+            return
+        if self.now < self.frozen_until_by_ip[ip]:
+            self._backlog_by_ip[ip].append((self.now, segment))
+        else:
+            self._handle_segment(ip, segment, 0)
+
     def repeat_accept(self, flow: CallerFlow, server: SimulatedServer) -> None:
         """Delivers to a flow's caller another accept, which may be of another server."""
         self._handle_accept(
@@ -441,6 +471,8 @@
         if source.value is not None:
             return self._change_by_text.get(source.value)
         prefix, _, name = source.key.rpartition('/')
+        if source.key.startswith(EVACUATION_PREFIX):
+            return ZoneTakenBack(ZoneId(name))
         return ServerRemoved(BackendId(name)) if prefix else None
 
     def _run_timers(self, ip: str, steering: SteeringInstance) -> None:
@@ -535,7 +567,7 @@
         rotation = self._instances_in_rotation(flow.zone)
         if rotation:
             ip = rotation[int.from_bytes(flow.key[:6], 'big') % len(rotation)]
-            self.schedule(CALLER_DELAY_S, lambda: self._deliver_to_instance(ip, segment))
+            self.schedule(CALLER_DELAY_S, lambda: self.deliver_segment(ip, segment))
 
     def _wake(self, ip: str, paused_s: float) -> None:
         """Lets a frozen instance read the segments that have arrived, before its timers run."""
@@ -547,14 +579,6 @@
             self._handle_segment(ip, segment, self.now - arrived_at)
         self.steering_by_ip[ip].handle_backlog_end()
 
-    def _deliver_to_instance(self, ip: str, segment: Segment) -> None:
-        if ip in self.down_ips:
-            return
-        if self.now < self.frozen_until_by_ip[ip]:
-            self._backlog_by_ip[ip].append((self.now, segment))
-        else:
-            self._handle_segment(ip, segment, 0)
-
     def _handle_segment(self, ip: str, segment: Segment, waited_s: float) -> None:
         steering = self.steering_by_ip[ip]
         steering.handle_segment(segment, self.now_at(ip), waited_s)
