Evacuate zones in the soak and prove the mechanisms

Cause: no run on real processes evacuated a zone, and nothing showed that the tests depend on the mechanisms.

Six cases of tools/prove_red.py disable the mechanisms, one of them on real processes.

--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     'DISRUPTION_BY_NAME',
+    'EVACUATION',
     'IDLE_FLOW_KINDS',
     'OLD_DIRECTORY_KINDS',
     'STORE_RESTORE',
@@ -29,6 +30,7 @@
 
 Disruption = Callable[[SoakEnvironment, float], Awaitable[None]]
 STORE_RESTORE = 'restore_store'
+EVACUATION = 'evacuate_zone'
 # Kinds that have made instances serve on an old directory.
 OLD_DIRECTORY_KINDS = ('odd_entries', 'refuse_some', 'slow_zone')
 # Kinds that have reset open flows whose callers pause.
@@ -335,6 +337,10 @@
         await environment.check_route(route)
 
 
+async def _evacuate_zone(environment: SoakEnvironment, for_s: float) -> None:
+    await environment.evacuate_zone(environment.rng.choice(ZONES), for_s)
+
+
 DISRUPTION_BY_NAME: Mapping[str, Disruption] = {
     'kill_some': _kill_some,
     'kill_all': _kill_all,
@@ -361,4 +367,5 @@
     'refuse_some': _refuse_some,
     'slow_zone': _slow_zone,
     STORE_RESTORE: _restore_store,
+    EVACUATION: _evacuate_zone,
 }
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -16,7 +16,7 @@
 from emulator.udp import find_free_ports
 from soak.callers import Caller, CallerFlow
 from soak.clock import RunClock
-from soak.fleet import SETTLING_S, InstanceProcess, ProcessFleet, RunLayout
+from soak.fleet import EVACUATION_LIMIT_MS, SETTLING_S, InstanceProcess, ProcessFleet, RunLayout
 from soak.links import Links
 from soak.observations import Promise, RequestOutcome, RunObservations
 from soak.servers import BackendServer, ServerAddress
@@ -34,6 +34,9 @@
 DRAIN_APPLY_LIMIT_S = 3.0
 PEER_PROPAGATION_LIMIT_S = 6.0
 CONFIG_APPLY_LIMIT_S = 3.0
+EVACUATION_LIMIT_S = EVACUATION_LIMIT_MS / 1000
+# An unstable store extends the limit by as much as for leaving servers.
+EVACUATION_BY_PEERS_LIMIT_S = 8.0
 ADDRESS_REUSE_DELAY_S = 2.0
 # Longest time for which a leaving server keeps serving beyond DRAIN_APPLY_LIMIT_S.
 MAX_EXTRA_DRAIN_S = 8.0
@@ -78,6 +81,7 @@
         self.server_addresses: list[ServerAddress] = []
         self.callers: list[Caller] = []
         self.routes: list[Route] = []
+        self.evacuated_at_by_zone: dict[str, float] = {}
         self._folder = TemporaryDirectory(prefix='berylstair-soak-')
         self.layout = RunLayout(
             10 + seed % 100,
@@ -243,12 +247,15 @@
             if sender is not None:
                 self.links.get_link(sender.name, f'server-{number}').transmit(deliver)
 
-        def on_flow_opened(port: int, server: BackendServer, source: Endpoint) -> None:
-            self._check_opened_flow(port, server, self.fleet.instance_by_ip[source.ip])
+        def on_opening(port: int, server: BackendServer, source: Endpoint, is_first: bool) -> None:
+            instance = self.fleet.instance_by_ip[source.ip]
+            self._check_evacuation(ZONES[number % len(ZONES)], server, instance)
+            if is_first:
+                self._check_opened_flow(port, server, instance)
 
         answers = self.links.get_link(f'server-{number}', CALLERS)
         address = ServerAddress(
-            endpoint, self.layout.ports[0], transmit, answers.transmit, on_flow_opened
+            endpoint, self.layout.ports[0], transmit, answers.transmit, on_opening
         )
         self.server_addresses.append(address)
         self._exit_stack.callback(address.close)
@@ -291,6 +298,17 @@
                     Promise.CONFIGURATION, now, f'{detail} route removed {age_s:.1f} s ago'
                 )
 
+    def _check_evacuation(
+        self, zone: str, server: BackendServer, instance: InstanceProcess
+    ) -> None:
+        """Checks that an opening segment does not reach an evacuated zone after the time limit."""
+        now = self.clock.now()
+        age_s = now - self.evacuated_at_by_zone.get(zone, now)
+        limit_s = self._time_limit_s(instance, EVACUATION_LIMIT_S, EVACUATION_BY_PEERS_LIMIT_S)
+        if age_s > limit_s + DELIVERY_SLACK_S:
+            detail = f'{instance.name} server={server.name} {zone} evacuated {age_s:.1f} s ago'
+            self.observations.add_finding(Promise.EVACUATION, now, detail)
+
     def _time_limit_s(self, instance: InstanceProcess, usual_s: float, by_peers_s: float) -> float:
         """Returns the time limit that applies to an instance, in seconds.
 
@@ -371,6 +389,16 @@
         else:
             route.refused_by.add(instance.name)
 
+    async def evacuate_zone(self, zone: str, for_s: float) -> None:
+        """Evacuates a zone for longer than the time limit, unless it is evacuated already."""
+        if zone in self.evacuated_at_by_zone:
+            return
+        self.store.put(f'op/evacuate/{zone}', {})
+        self.evacuated_at_by_zone[zone] = self.clock.now()
+        await asyncio.sleep(EVACUATION_LIMIT_S + for_s)
+        self.evacuated_at_by_zone.pop(zone)
+        self.store.remove(f'op/evacuate/{zone}')
+
     async def mark_store_disrupted(self, for_s: float) -> None:
         """Counts the store as disrupted until the end of a pause."""
         self.store_disrupted_until = max(self.store_disrupted_until, self.clock.now() + for_s)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,9 +17,17 @@
 from soak.links import Links, PeerRelay, StreamRelay
 from soak.observations import Promise, RunObservations
 
-__all__ = ['SETTLING_S', 'STORE', 'InstanceProcess', 'ProcessFleet', 'RunLayout']
+__all__ = [
+    'EVACUATION_LIMIT_MS',
+    'SETTLING_S',
+    'STORE',
+    'InstanceProcess',
+    'ProcessFleet',
+    'RunLayout',
+]
 
 STORE = 'store'
+EVACUATION_LIMIT_MS = 5000
 # Time limits are checked only for instances without a disruption for this long.
 SETTLING_S = 4.0
 # Extra time to exit beyond the limit of a planned stop, on a busy machine.
@@ -269,7 +277,9 @@
         packets, ready, control, peers, _, store = self.layout.ports
         ports = {'packets': packets, 'ready': ready, 'control': control, 'peers': peers}
         seeds = [f'{self.layout.ip(_PUBLISHED_OCTET, number)}:{control}' for number in range(3)]
-        return make_settings(instance.name, instance.zone, instance.ip, ports) | {
+        settings = make_settings(instance.name, instance.zone, instance.ip, ports)
+        return settings | {
+            'bounds': settings['bounds'] | {'evac_ms': EVACUATION_LIMIT_MS},
             'zones': dict.fromkeys(self.layout.zones, 'midlands-west'),
             'seeds': seeds,
             'platform': {
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -17,6 +17,7 @@
     RIGHT_SERVICE = 'a packet meant for one service never reaches another'
     OPEN_FLOW = 'an open flow is neither reset nor moved to another server'
     LEAVING = 'a leaving server gets no new flow'
+    EVACUATION = 'no opening segment reaches an evacuated zone'
     CONFIGURATION = 'a configuration is in force everywhere in time and never reverts'
     PLANNED_STOP = 'a planned stop ends cleanly in time'
     ALIVE = 'no instance ends by itself'
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 from soak.callers import Caller, CallerFlow
 from soak.disruptions import (
     DISRUPTION_BY_NAME,
+    EVACUATION,
     IDLE_FLOW_KINDS,
     OLD_DIRECTORY_KINDS,
     STORE_RESTORE,
@@ -44,13 +45,22 @@
     6: OLD_DIRECTORY_KINDS,
     7: (STORE_RESTORE,),
 }
+# Zones are evacuated with the seeds 13, 29, 45 and so on, which have no other special kinds.
+EVACUATION_SEEDS = (16, 13)
 IDLE_FLOW_COUNT = 200
 # Longer than an instance remembers a flow that has a tag, shorter than the idle timeout.
 _IDLE_PAUSE_RANGE_S = (3.5, 8.0)
 SAMPLED_DISRUPTIONS = tuple(
     sorted(
         set(DISRUPTION_BY_NAME)
-        - {STORE_RESTORE, *OLD_DIRECTORY_KINDS, 'lose_answers', 'pause_briefly', 'rejoin'}
+        - {
+            STORE_RESTORE,
+            EVACUATION,
+            *OLD_DIRECTORY_KINDS,
+            'lose_answers',
+            'pause_briefly',
+            'rejoin',
+        }
     )
 )
 DIRECTORY_CHANGES = ('change_routes', 'release', 'reuse_addresses')
@@ -135,6 +145,9 @@
     if remainder == IDLE_FLOW_REMAINDER:
         # With many other kinds, few flows are open when the rotation changes.
         names = names[:2]
+    period, evacuation_remainder = EVACUATION_SEEDS
+    if seed % period == evacuation_remainder:
+        names.append(EVACUATION)
     return [*names, *KINDS_BY_SEED_REMAINDER.get(remainder, ())]
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -80,7 +80,7 @@
             send: Sends a packet to a caller.
 
         Returns:
-            True if it is an opening segment.
+            True if it is the first opening segment of its flow.
         """
         length, flags, *endpoint_fields = PACKET_HEADER.unpack_from(packet)[:6]
         _, sequence, acknowledged, echo = PACKET_HEADER.unpack_from(packet)[6:]
@@ -178,7 +178,7 @@
         caller_port: int,
         transmit: Callable[[Endpoint, Callable[[], None]], None],
         transmit_answer: Callable[[Callable[[], None]], None],
-        on_flow_opened: Callable[[int, BackendServer, Endpoint], None],
+        on_opening: Callable[[int, BackendServer, Endpoint, bool], None],
     ) -> None:
         """Opens the socket.
 
@@ -187,13 +187,13 @@
             caller_port: Port at which callers receive packets.
             transmit: Passes a packet over the link from its sender to this address.
             transmit_answer: Passes a packet over the link from this address to callers.
-            on_flow_opened: Called for each opening segment with the service
-                port, the server and the sender.
+            on_opening: Called for each opening segment with the service port, the
+                server, the sender and whether it is the flow's first one there.
         """
         self.endpoint = endpoint
         self.server: BackendServer | None = None
         self._caller_port = caller_port
-        self._on_flow_opened = on_flow_opened
+        self._on_opening = on_opening
         self._socket = UdpSocket(endpoint, self._handle_datagram)
         self._transmit = transmit
         self._transmit_answer = transmit_answer
@@ -211,8 +211,10 @@
         if server is None or target_number not in {0, server.backend_number}:
             return
         packet = datagram[_BACKEND_NUMBER_BYTES:]
-        if server.handle_packet(packet, self._send):
-            self._on_flow_opened(PACKET_HEADER.unpack_from(packet)[3], server, source)
+        is_first = server.handle_packet(packet, self._send)
+        _, flags, _, port = PACKET_HEADER.unpack_from(packet)[:4]
+        if flags & SYN:
+            self._on_opening(port, server, source, is_first)
 
     def _send(self, caller: Endpoint, packet: bytes) -> None:
         target = Endpoint(caller.ip, self._caller_port)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,6 +59,9 @@
     (28, 'the same, with fewer flows'),
 )
 
+# Callers reach the zone for seconds after the limit where evacuations have no effect.
+EVACUATION_SEED = 29
+
 
 async def check_new_route(is_published: bool, has_servers: bool) -> list[Finding]:
     """Checks a route at settled instances and returns the findings."""
@@ -96,6 +99,11 @@
             self.assertThat([str(finding) for finding in result.findings], Equals([]))
             self.assertThat(result.outcome_counts['answered'], GreaterThan(100))
 
+    def test_evacuated_zones_get_no_opening_segment(self) -> None:
+        result = asyncio.run(run_seed(EVACUATION_SEED, RunSize()))
+        self.assertThat([str(finding) for finding in result.findings], Equals([]))
+        self.assertThat(result.outcome_counts['answered'], GreaterThan(100))
+
     def test_missing_route_is_distinguished_from_service_without_servers(self) -> None:
         for is_published, has_servers, expected_promises in (
             (True, True, set()),
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -20,6 +20,7 @@
 INSTANCE_TESTS = 'tests/test_instance.py'
 FLOW_OFFER_TESTS = 'tests/test_flow_offers.py'
 PEER_CLAIM_TESTS = 'tests/test_peer_claims.py'
+EVACUATION_TESTS = 'tests/test_evacuation.py'
 FAR_AHEAD = 'far_ahead'
 
 
@@ -571,6 +572,60 @@
         'no_answer_time',
         'tests/test_peer_numbers.py',
     ),
+    MutationCase(
+        'platform: evacuation',
+        'servers of evacuated zones accept no new flows',
+        'directory',
+        'and entry.registration.server.zone not in self.evacuations',
+        'and True',
+        'no_opening_reaches',
+        EVACUATION_TESTS,
+    ),
+    MutationCase(
+        'platform: evacuation',
+        'the same, on real processes',
+        'directory',
+        'and entry.registration.server.zone not in self.evacuations',
+        'and True',
+        'evacuated_zones',
+        'tests/test_soak.py',
+    ),
+    MutationCase(
+        'platform: evacuation',
+        'opening segments of earlier offers are not sent again',
+        'directory',
+        'return server.zone not in self.evacuations and not self.is_server_evacuated(server.id)',
+        'return True',
+        'no_opening_reaches',
+        EVACUATION_TESTS,
+    ),
+    MutationCase(
+        'platform: evacuation',
+        'a late opening of an open flow goes to no other server',
+        'assigner',
+        'if opened is not None and not self._directory.may_open_at(opened.server):',
+        'if False:',
+        'late_opening',
+        EVACUATION_TESTS,
+    ),
+    MutationCase(
+        'platform: evacuation',
+        'an evacuation that a restore lost stays in force for a while',
+        'directory',
+        'self.evacuations.end(change.zone, now + grace_s)',
+        'self.evacuations.end(change.zone, now)',
+        'restore_lost',
+        EVACUATION_TESTS,
+    ),
+    MutationCase(
+        'platform: evacuation',
+        'waiting flows are refused if no server is left',
+        'assigner',
+        'if not candidates and self._directory.evacuations:',
+        'if False:',
+        'no_server_is_left',
+        EVACUATION_TESTS,
+    ),
 )
 
 
