Do not place a flow again that may be open in an evacuated zone

Cause: after a rotation change another holder may request a placement of a flow that the zone's server has answered. Placed again, it gets a second server, whose answer changes the flow's tag; that holder then sends the caller's segments to the second server, which resets the flow. And a caller that reuses the port of a flow released within 8 s waited in vain.

Change: while the server has answered any flow since the lease began, another holder waits: the first one releases the lease or requests another server within the timeout of an offer, and the waiting one hears where the flow is open. Only a flow whose first opening came before the release is taken for the released one.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -270,7 +270,8 @@
                 request.flow, Outcome.SILENT if is_fresh else Outcome.ENDED, now
             )
             return None
-        if lease.holder != request.holder:
+        is_evacuated = self._directory.is_server_evacuated(lease.backend)
+        if lease.holder != request.holder and not is_evacuated:
             lease.former_holders = (*lease.former_holders, lease.holder)
             lease.holder = request.holder
         for candidate in candidates:
@@ -279,7 +280,21 @@
                 return PlacementResult(
                     request, PlacementDecision.PLACED, candidate.server, lease_count
                 )
-        return None
+        return self._repeat_evacuated(state, lease, request) if is_evacuated else None
+
+    def _repeat_evacuated(
+        self, state: _ServiceState, lease: Lease, request: PlacementRequest
+    ) -> PlacementResult | None:
+        """Returns the decision on a flow that was placed on a server of an evacuated zone.
+
+        It is placed again, unless it may be open there with another holder. That one
+        knows, and releases the lease or requests another server once an offer times out.
+        """
+        if request.holder == lease.holder or not state.lease_table.has_answered_since(lease):
+            return None
+        if request.holder not in lease.former_holders:
+            lease.former_holders = (*lease.former_holders, request.holder)
+        return PlacementResult(request, PlacementDecision.WAITING)
 
     def _find_opened(
         self,
@@ -293,6 +308,8 @@
             return None
         opened = self._directory.find_by_tag(tag, service_address(request.flow))
         if opened is not None and not self._directory.may_open_at(opened.server):
+            if not state.lease_table.is_late_opening(request.flow, request.arrived_at):
+                return None
             # Another server's answer would change the tag of the open flow, and a refusal
             # would reset it. The holder waits until its caller sends no further opening.
             return PlacementResult(request, PlacementDecision.WAITING)
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -191,6 +191,15 @@
         released = self._released_by_flow.get(flow)
         return released.tag if released else 0
 
+    def is_late_opening(self, flow: FlowKey, arrived_at: float) -> bool:
+        """Returns whether a request is for a flow that was released, not for a later one.
+
+        A caller may also use the address and port of a released flow for a new one,
+        whose first opening segment arrives later.
+        """
+        released = self._released_by_flow.get(flow)
+        return released is not None and arrived_at < released.released_at
+
     def release(self, flow: FlowKey, outcome: Outcome, now: float, tag: int = 0) -> Lease | None:
         """Ends a lease and updates the server's health from its outcome.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -334,6 +334,39 @@
         )
         self.assertThat(count_outcomes(world), Equals({'answered'}))
 
+    def test_a_new_flow_under_the_key_of_a_released_one_is_placed(self) -> None:
+        # Guards against callers that are left without an answer after they reuse a port.
+        world = make_world()
+        flow = world.start_flow(work_s=0.02, stays_open=True)
+        world.run(0.2)
+        evacuate(world)
+        opening = make_opening(flow, 0)._replace(sequence=99)
+        world.deliver_segment('10.0.0.2', opening)
+        world.run(0.05)
+        self.assertThat((world.count_openings(0), world.count_openings(1)), Equals((1, 1)))
+
+    def test_a_flow_that_may_be_open_with_another_holder_is_not_placed_again(self) -> None:
+        # Guards against a second server whose answer changes the tag of an open flow.
+        for is_silent, openings_elsewhere in ((False, 0), (True, 1)):
+            world = make_world()
+            if is_silent:
+                silence_zone(world, 5.0)
+            flow = world.start_flow(work_s=0.5, stays_open=True)
+            world.run(0.05)
+            evacuate(world)
+            holder_ip = find_holder_ip(world, flow)
+            for ip in world.steering_by_ip:
+                if ip != holder_ip:
+                    world.deliver_segment(ip, make_opening(flow, 1))
+            world.run(1)
+            with self.subTest(is_silent=is_silent):
+                self.assertThat(world.count_openings(0), Equals(1))
+                self.assertThat(world.count_openings(1) >= openings_elsewhere, Equals(True))
+                if not is_silent:
+                    self.assertThat(world.count_openings(1), Equals(0))
+                self.assertThat(flow.outcome, Equals('answered'))
+                self.assertThat(world.misrouted_segments, Equals(0))
+
     def test_flows_of_the_zone_are_answered_elsewhere_under_load(self) -> None:
         for instances in (4, 40):
             world = make_world(instances, servers=12)
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -608,6 +608,15 @@
         'late_opening',
         EVACUATION_TESTS,
     ),
+    MutationCase(
+        'platform: evacuation',
+        'a flow that may be open in the zone is not placed again for another holder',
+        'assigner',
+        'return self._repeat_evacuated(state, lease, request) if is_evacuated else None',
+        'return None',
+        'another_holder',
+        EVACUATION_TESTS,
+    ),
     MutationCase(
         'platform: evacuation',
         'an evacuation that a restore lost stays in force for a while',
