Test evacuations in random series and on real processes

Cause: the order in which evacuations, restores, restarts and cuts meet was tested by cases only, and odd values in the items only up to the decoder.

Change: 43 random series in fleets of 4 and 40 instances, after which all instances hold what the store has; a fleet of processes whose store has odd and large values under op/evacuate/.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from random import Random
 
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
@@ -13,7 +14,7 @@
 from berylstair.ids import ZoneId
 from berylstair.segment import Segment
 from berylstair.steering_metrics import render_steering_metrics
-from emulator.simulation import SERVICE, CallerFlow, SimulatedWorld
+from emulator.simulation import EVACUATION_PREFIX, SERVICE, CallerFlow, SimulatedWorld
 
 ZONE = ZoneId('zone-0')
 # Segments reach an instance after 3 ms, and a placement reply comes 0.8 ms later.
@@ -25,6 +26,7 @@
 # An opening segment sent before the evacuation is on its way for less than this.
 TRANSIT_S = 0.001
 READER_IP = '10.0.0.1'
+SERIES_STEPS = 14
 
 
 def make_world(instances: int = 3, servers: int = 4, slots: int = 3) -> SimulatedWorld:
@@ -512,3 +514,59 @@
         self.assertThat(evacuated_at(world), Equals({True}))
         reply = world.steering_by_ip['10.0.0.3'].directory_sync.encode_changes_after(START_POSITION)
         self.assertThat(any(row.key.endswith(ZONE) for row in reply.rows), Equals(True))
+
+
+class SeriesTest(TestCase):
+    """Random series of evacuations, restores, restarts and cuts, in small and large fleets."""
+
+    def play(self, instances: int, seed: int) -> None:
+        """Plays a series and checks that all instances hold what the store has in the end."""
+        world = make_world(instances)
+        rng = Random(seed)
+        copies = [(dict(world.source_items), world.source_position.revision)]
+
+        def random_ip() -> str:
+            return rng.choice(sorted(world.steering_by_ip))
+
+        def restart() -> None:
+            number = rng.randrange(instances)
+            world.kill_instance(f'10.0.0.{number + 1}')
+            world.start_instance(number)
+
+        def cut_zone() -> None:
+            if world.blocked_links:
+                world.blocked_links.clear()
+            else:
+                world.partition_zone(1)
+
+        steps: tuple[Callable[[], object], ...] = (
+            lambda: world.evacuate_zone(rng.randrange(2), random_ip()),
+            lambda: world.take_zone_back(rng.randrange(2), random_ip()),
+            lambda: copies.append((dict(world.source_items), world.source_position.revision)),
+            lambda: world.restore_source(*rng.choice(copies), reader_ip=random_ip()),
+            restart,
+            cut_zone,
+        )
+        for _ in range(SERIES_STEPS):
+            rng.choice(steps)()
+            world.run(rng.random())
+        world.blocked_links.clear()
+        world.add_route(2, only_ip=READER_IP)
+        world.run(2 * SPREAD_S + SOURCE_RECOVERY_GRACE_S)
+        stored = frozenset(
+            ZoneId(key.removeprefix(EVACUATION_PREFIX))
+            for key in world.source_items
+            if key.startswith(EVACUATION_PREFIX)
+        )
+        for steering in world.steering_by_ip.values():
+            directory = steering.core.directory
+            self.assertThat(directory.evacuations.zones, Equals(stored))
+            accepting = directory.accepting_servers(SERVICE, world.now)
+            zones = {server.zone for server in accepting}
+            self.assertThat(zones, Equals({ZONE, ZoneId('zone-1')} - stored))
+
+    def test_all_instances_agree_with_the_store_in_the_end(self) -> None:
+        for instances, seeds in ((4, range(40)), (40, range(3))):
+            for seed in seeds:
+                with self.subTest(instances=instances, seed=seed):
+                    self.play(instances, seed)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -89,6 +89,27 @@
             self.assertThat(leaving.opening_count, Equals(before))
             fleet.store.fault = StoreFault.NONE
 
+    def test_an_evacuated_zone_gets_no_new_flow_until_it_is_taken_back(self) -> None:
+        # Guards against an evacuation that is not followed because of what stands in the item.
+        fleet = self.start_fleet()
+        caller = fleet.add_caller()
+        remote = fleet.servers[0]
+        fleet.write_server_entry(remote, 'ready', zone='avon-side', seq=2)
+        for name in ('empty', 'not UTF-8', 'large'):
+            fleet.wait_for_revision(fleet.store.put('op/evacuate/avon-side', ODD_ENTRIES[name]))
+            before = remote.opening_count
+            self.call_through(fleet, caller, [0, 1, 2])
+            with self.subTest(name=name):
+                self.assertThat(remote.opening_count, Equals(before))
+            fleet.wait_for_revision(fleet.store.remove('op/evacuate/avon-side'))
+        fleet.wait_for_revision(fleet.store.put('op/evacuate/tame-side', b''))
+        before = remote.opening_count
+        self.call_through(fleet, caller, [0, 1, 2])
+        self.assertThat(remote.opening_count, Equals(before + CALL_COUNT))
+        fleet.wait_for_revision(fleet.store.put('op/evacuate/avon-side', b''))
+        self.assertThat(caller.send_request(fleet.packet_endpoint(0)), Equals(b'RST'))
+        self.assertThat(fleet.fetch_metrics(0), Contains('berylstair_evacuated_zones 2.0'))
+
     def test_a_dead_server_and_a_killed_instance(self) -> None:
         fleet = self.start_fleet()
         caller = fleet.add_caller()
