--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -17,6 +17,7 @@
 from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
 from berylstair.request_progress import StalledRequest, limit_set_aside
+from berylstair.segment import service_address
 from berylstair.server_selection import ServerCandidate, choose_server
 from berylstair.tag import tag_of
 from berylstair.wait_queue import PlacementRequest, WaitQueue
@@ -113,6 +114,15 @@
             for candidate in state.candidates
         )
 
+    @property
+    def evacuated_lease_count(self) -> int:
+        """Number of leases counted here on servers of evacuated zones."""
+        return sum(
+            self._directory.is_server_evacuated(lease.backend)
+            for state in self._state_by_service.values()
+            for lease in state.lease_table.lease_by_flow.values()
+        )
+
     def lease_table(self, service: ServiceName) -> LeaseTable:
         """Returns the leases of a service."""
         return self._service_state(service).lease_table
@@ -227,6 +237,11 @@
     ) -> Iterable[PlacementResult]:
         state.lease_table.prune_expired(now)
         candidates = self._candidates(service, now)
+        if not candidates and self._directory.evacuations:
+            # No slot of the evacuated zones becomes free while their callers wait.
+            for stranded in list(state.wait_queue.request_by_flow.values()):
+                state.wait_queue.remove(stranded.flow)
+                yield PlacementResult(stranded, PlacementDecision.REFUSED)
         while True:
             request = state.wait_queue.select_next(
                 state.lease_table.mean_work_s(), state.slots, now
@@ -280,7 +295,8 @@
                 request.flow, Outcome.SILENT if is_fresh else Outcome.ENDED, now
             )
             return None
-        if lease.holder != request.holder:
+        is_evacuated = self._directory.is_server_evacuated(lease.backend)
+        if lease.holder != request.holder and not is_evacuated:
             lease.former_holders = (*lease.former_holders, lease.holder)
             lease.holder = request.holder
         for candidate in candidates:
@@ -289,7 +305,21 @@
                 return PlacementResult(
                     request, PlacementDecision.PLACED, candidate.server, lease_count
                 )
-        return None
+        return self._repeat_evacuated(state, lease, request) if is_evacuated else None
+
+    def _repeat_evacuated(
+        self, state: _ServiceState, lease: Lease, request: PlacementRequest
+    ) -> PlacementResult | None:
+        """Returns the decision on a flow that was placed on a server of an evacuated zone.
+
+        It is placed again, unless it may be open there with another holder. That one
+        knows, and releases the lease or requests another server once an offer times out.
+        """
+        if request.holder == lease.holder or not state.lease_table.has_answered_since(lease):
+            return None
+        if request.holder not in lease.former_holders:
+            lease.former_holders = (*lease.former_holders, request.holder)
+        return PlacementResult(request, PlacementDecision.WAITING)
 
     def _find_opened(
         self,
@@ -301,6 +331,13 @@
         tag = state.lease_table.tag_of_released(request.flow)
         if not tag:
             return None
+        opened = self._directory.find_by_tag(tag, service_address(request.flow))
+        if opened is not None and not self._directory.may_open_at(opened.server):
+            if not state.lease_table.is_late_opening(request.flow, request.arrived_at):
+                return None
+            # Another server's answer would change the tag of the open flow, and a refusal
+            # would reset it. The holder waits until its caller sends no further opening.
+            return PlacementResult(request, PlacementDecision.WAITING)
         for candidate in candidates:
             if tag_of(candidate.server.id) == tag:
                 lease_count = candidate.state.lease_count
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -68,6 +68,12 @@
                 core.assigner.set_aside_count,
             ),
             ('leases', 'Leases counted by this dispatching instance.', core.assigner.lease_count),
+            ('evacuated_zones', 'Evacuated zones.', len(core.directory.evacuations)),
+            (
+                'evacuated_leases',
+                'Leases counted by this dispatching instance on servers of evacuated zones.',
+                core.assigner.evacuated_lease_count,
+            ),
             (
                 'peers_reachable',
                 'Other instances that are reachable.',
