Keep what makes a zone cold apart from its duration

Cause: the limit for cold servers brings a duration for each service, and the time until which a zone is cold was stored as one figure for all services.

Change: the directory stores when a zone was taken back and computes until when a server is cold in one place, which that part can replace.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -230,7 +230,7 @@
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
         self._ids_by_zone: dict[ZoneId, set[BackendId]] = {}
         self.evacuations = EvacuationTable()
-        self._cold_until_by_zone: dict[ZoneId, float] = {}
+        self._taken_back_at_by_zone: dict[ZoneId, float] = {}
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -326,11 +326,12 @@
 
     def mark_zone_cold(self, zone: ZoneId, now: float) -> None:
         """Lets the servers of a zone count as cold from now on, whatever their entries say."""
-        cold_until = now + TAKEN_BACK_COLD_S
-        self._cold_until_by_zone[zone] = cold_until
+        self._taken_back_at_by_zone[zone] = now
         for backend in self._ids_by_zone.get(zone, ()):
             entry = self._entry_by_id[backend]
-            entry.warmup_until = max(entry.warmup_until, cold_until)
+            entry.warmup_until = max(
+                entry.warmup_until, self._taken_back_cold_until(entry.registration)
+            )
 
     def advance(self, position: Position, now: float) -> None:
         """Records that every change up to a position has been applied."""
@@ -478,7 +479,7 @@
         self._ids_by_zone.setdefault(zone, set()).add(backend)
         # Each status report is a new entry; the zone's servers stay cold all the same.
         warmup_until = max(
-            now + registration.warmup_left_s, self._cold_until_by_zone.get(zone, -math.inf)
+            now + registration.warmup_left_s, self._taken_back_cold_until(registration)
         )
         entry = _ServerEntry(registration, warmup_until)
         self._entry_by_id[backend] = entry
@@ -513,6 +514,11 @@
             self.evacuations.end(change.zone, now + grace_s)
             self.end_evacuations(now)
 
+    def _taken_back_cold_until(self, registration: ServerRegistration) -> float:
+        """Returns until when a server is cold because its zone was taken back."""
+        taken_back_at = self._taken_back_at_by_zone.get(registration.server.zone, -math.inf)
+        return taken_back_at + TAKEN_BACK_COLD_S
+
     def _remove_from_zone(self, server: BackendServer) -> None:
         zone_ids = self._ids_by_zone[server.zone]
         zone_ids.discard(server.id)
