Decode the cold starts that the configuration states

Operators state in the entries of services how long a server is cold and how many requests per second it can handle meanwhile; the decoder dropped both. A module of its own decodes one entry, so that further fields have their place. Both values must be valid numbers, else the service has no stated rate and the configuration stays valid.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from types import NoneType
+from types import MappingProxyType, NoneType
 from typing import Any, NamedTuple
 
 from berylstair.ids import BackendId, Endpoint, ServiceName
@@ -12,6 +12,7 @@
 
 __all__ = [
     'START_POSITION',
+    'ColdStart',
     'Configuration',
     'ConfigurationPublished',
     'DecodedChange',
@@ -119,12 +120,29 @@
     priority: int
 
 
+class ColdStart(NamedTuple):
+    """Properties of a service's servers after a start.
+
+    Attributes:
+        duration_s: Seconds for which a server is cold after a start during traffic.
+        requests_per_s: Requests per second that a cold server can handle.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 class Configuration(NamedTuple):
-    """All routes of one published version."""
+    """All routes of one published version.
+
+    Attributes:
+        cold_by_service: Cold starts of the services that state them.
+    """
 
     version: int
     route_by_address: dict[Endpoint, Route]
     idle_timeout_s: float
+    cold_by_service: Mapping[ServiceName, ColdStart] = MappingProxyType({})
 
 
 class ServerListed(NamedTuple):
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -18,6 +18,7 @@
 from berylstair.errors import DecodeError
 from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId, parse_endpoint
 from berylstair.platform.packet import backend_number
+from berylstair.platform.services import decode_services
 from berylstair.record import BackendServer, BackendState
 
 __all__ = ['CONFIGURATION_KEY', 'decode_change']
@@ -113,10 +114,12 @@
 
 def _decode_configuration(published: dict[str, Any]) -> Configuration:
     routes = [_decode_route(route) for route in published['routes']]
+    services = decode_services(published.get('services'))
     return Configuration(
         _require_int(published['version']),
         {route.address: route for route in routes},
         _require_amount(published.get('limits', {}).get('idle_timeout_ms', 15000)) / _MS_PER_S,
+        {service.name: service.cold_start for service in services if service.cold_start},
     )
 
 
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals, IsInstance
 
 from berylstair.directory import (
+    ColdStart,
     ConfigurationPublished,
     Position,
     ServerListed,
@@ -16,6 +17,7 @@
 from berylstair.errors import DecodeError
 from berylstair.ids import Endpoint
 from berylstair.platform.items import decode_change
+from emulator.odd_entries import ODD_VALUES
 
 POSITION = Position(1, 5)
 
@@ -48,6 +50,12 @@
     return decode_change(SourceChange('servers/i-7f3a91c2', POSITION, text))
 
 
+def decode_services(services: Any) -> Any:
+    """Decodes a configuration with one route and a value in place of its services."""
+    published = {'version': 7, 'routes': [ROUTE], 'services': services}
+    return decode_change(SourceChange('op/config', POSITION, json.dumps(published).encode()))
+
+
 def decode_configuration(**changed: Any) -> Any:
     """Decodes a configuration with one route."""
     published = {'version': 7, 'routes': [ROUTE | changed], 'limits': {'idle_timeout_ms': 12000}}
@@ -124,3 +132,41 @@
 
     def test_other_keys_are_ignored(self) -> None:
         self.assertThat(decode_change(SourceChange('my/leader', POSITION, b'x')), Equals(None))
+
+
+class ServicesTest(TestCase):
+    """What the configuration states about services; no value of it refuses the routes."""
+
+    def test_the_cold_start_of_a_service(self) -> None:
+        service = {'name': 'huvo11a', 'health_path': '/health', 'max_conns': 2000}
+        cold = service | {'cold_start_s': 20, 'cold_per_s': 0.0}
+        cases: tuple[tuple[Any, dict[str, ColdStart]], ...] = (
+            (cold, {'huvo11a': ColdStart(20.0, 0.0)}),
+            (cold | {'cold_per_s': 7}, {'huvo11a': ColdStart(20.0, 7.0)}),
+            (service, {}),
+            (service | {'cold_start_s': 20}, {}),
+            (service | {'cold_per_s': 0.0}, {}),
+        )
+        for entry, expected in cases:
+            configuration = decode_services([entry]).configuration
+            self.assertThat(dict(configuration.cold_by_service), Equals(expected))
+
+    def test_an_invalid_value_states_no_rate_and_keeps_the_configuration(self) -> None:
+        valid = {'name': 'other', 'cold_start_s': 5.0, 'cold_per_s': 1.5}
+        entry = {'name': 'huvo11a', 'cold_start_s': 20.0, 'cold_per_s': 2.0}
+        for key in ('cold_start_s', 'cold_per_s'):
+            for value in (*(odd for odd in ODD_VALUES if str(odd) != '1.5'), '3', -0.1):
+                change = decode_services([entry | {key: value}, valid])
+                with self.subTest(key=key, value=str(value)[:20]):
+                    self.assertThat(change, IsInstance(ConfigurationPublished))
+                    self.assertThat(
+                        change.configuration.cold_by_service, Equals({'other': ColdStart(5.0, 1.5)})
+                    )
+
+    def test_odd_values_in_place_of_services_or_of_an_entry(self) -> None:
+        for value in ODD_VALUES:
+            for services in (value, [value], [{'name': value, 'cold_per_s': 1, 'cold_start_s': 1}]):
+                change = decode_services(services)
+                with self.subTest(services=str(services)[:20]):
+                    self.assertThat(change, IsInstance(ConfigurationPublished))
+                    self.assertThat(len(change.configuration.route_by_address), Equals(1))
