Decode the operator's bound for cold servers

The settings' bounds may state cold_over and cold_slack, which limit the opening segments that a cold server gets in a sliding second. Without both there is no bound and nothing changes; one without the other, or an invalid one, refuses the settings like any other bound. They are read again on SIGHUP with the other bounds.

--- a/berylstair/platform/settings.py
+++ b/berylstair/platform/settings.py
@@ -7,7 +7,7 @@
 
 from berylstair.errors import ConfigurationError, Problem
 from berylstair.ids import Endpoint, InstanceId, ZoneId, parse_endpoint
-from berylstair.steering_settings import Capacity, SteeringSettings, TimeLimits
+from berylstair.steering_settings import Capacity, ColdLimit, SteeringSettings, TimeLimits
 
 __all__ = ['SETTINGS_VARIABLE', 'load_platform_settings']
 
@@ -17,6 +17,8 @@
 _MS_PER_S = 1000
 # Status reports that a server may miss before its entry expires.
 _HEARTBEATS_TO_EXPIRE = 3
+# More than any server handles, and few enough to be multiplied.
+_MAX_COLD_BOUND = 1_000_000
 
 
 def load_platform_settings(path: Path) -> SteeringSettings:
@@ -72,6 +74,7 @@
             link_mbps=float(limits['link_mbps']),
         ),
         time_limits=_decode_time_limits(loaded['bounds'], loaded['heartbeat_ms'] / _MS_PER_S),
+        cold_limit=_decode_cold_limit(loaded['bounds']),
     )
 
 
@@ -83,3 +86,13 @@
         max_flow_s=float(bounds['max_flow_s']),
         entry_expiry_s=heartbeat_interval_s * _HEARTBEATS_TO_EXPIRE,
     )
+
+
+def _decode_cold_limit(bounds: Mapping[str, Any]) -> ColdLimit | None:
+    """Returns the bound for cold servers, None where the platform states none."""
+    if bounds.get('cold_over') is None and bounds.get('cold_slack') is None:
+        return None
+    limit = ColdLimit(float(bounds['cold_over']), float(bounds['cold_slack']))
+    if not (0 <= limit.ratio <= _MAX_COLD_BOUND and 0 <= limit.slack <= _MAX_COLD_BOUND):
+        raise ValueError(f'cold_over or cold_slack not from 0 to {_MAX_COLD_BOUND}: {limit}')
+    return limit
--- a/berylstair/steering_settings.py
+++ b/berylstair/steering_settings.py
@@ -1,10 +1,11 @@
 """Settings of an instance that steers flows with direct server return."""
 
+import math
 from dataclasses import dataclass, replace
 
 from berylstair.ids import Endpoint, InstanceId, ZoneId
 
-__all__ = ['Capacity', 'SteeringSettings', 'TimeLimits']
+__all__ = ['Capacity', 'ColdLimit', 'SteeringSettings', 'TimeLimits']
 
 # Processor time and bytes, request and reply together, of a placement that is decided
 # for another instance.
@@ -57,6 +58,27 @@
         return min(self.drain_s, self.config_apply_s)
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """Bound set by the operator on the opening segments that a cold server gets.
+
+    Attributes:
+        ratio: Opening segments relative to the requests that a cold server can handle.
+        slack: Opening segments per second beyond these.
+    """
+
+    ratio: float
+    slack: float
+
+    def segments_per_s(self, requests_per_s: float) -> int:
+        """Returns the opening segments that a cold server may get in any sliding second.
+
+        Args:
+            requests_per_s: Requests per second that the server can handle while cold.
+        """
+        return math.floor(requests_per_s * self.ratio + self.slack)
+
+
 @dataclass(frozen=True, slots=True)
 class SteeringSettings:
     """Settings of one process.
@@ -71,6 +93,7 @@
         metrics_endpoint: Where metrics are served (HTTP).
         seeds: Instances through which the others are found; may be outdated or down.
         source_endpoint: Configuration service that the directory is read from (HTTP).
+        cold_limit: Bound for cold servers, None if the operator sets none.
     """
 
     instance: InstanceId
@@ -85,11 +108,17 @@
     source_endpoint: Endpoint
     capacity: Capacity
     time_limits: TimeLimits
+    cold_limit: ColdLimit | None = None
 
     def with_reloadable_from(self, changed: 'SteeringSettings') -> 'SteeringSettings':
         """Returns these settings with what may change in a running process.
 
         Args:
-            changed: Settings read again; only seeds and time limits are taken from them.
+            changed: Settings read again; only seeds and bounds are taken from them.
         """
-        return replace(self, seeds=changed.seeds, time_limits=changed.time_limits)
+        return replace(
+            self,
+            seeds=changed.seeds,
+            time_limits=changed.time_limits,
+            cold_limit=changed.cold_limit,
+        )
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -140,7 +140,7 @@
     def test_the_cold_start_of_a_service(self) -> None:
         service = {'name': 'huvo11a', 'health_path': '/health', 'max_conns': 2000}
         cold = service | {'cold_start_s': 20, 'cold_per_s': 0.0}
-        cases: tuple[tuple[Any, dict[str, ColdStart]], ...] = (
+        cases: tuple[tuple[Any, Any], ...] = (
             (cold, {'huvo11a': ColdStart(20.0, 0.0)}),
             (cold | {'cold_per_s': 7}, {'huvo11a': ColdStart(20.0, 7.0)}),
             (service, {}),
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from berylstair.errors import ConfigurationError
 from berylstair.ids import Endpoint
 from berylstair.platform.settings import load_platform_settings
+from berylstair.steering_settings import ColdLimit
 
 VALID_SETTINGS: dict[str, Any] = {
     'node_id': 'front-tame-side-1',
@@ -58,6 +59,29 @@
             self.assertRaises(ConfigurationError, load, VALID_SETTINGS | broken)
         self.assertRaises(ConfigurationError, load_platform_settings, Path('/nowhere'))
 
+    def test_the_bound_for_cold_servers_is_optional_and_is_reloaded(self) -> None:
+        running = load(VALID_SETTINGS)
+        self.assertThat(running.cold_limit, Equals(None))
+        bounds = VALID_SETTINGS['bounds'] | {'cold_over': 1.5, 'cold_slack': 5}
+        changed = load(VALID_SETTINGS | {'bounds': bounds})
+        self.assertThat(changed.cold_limit, Equals(ColdLimit(1.5, 5.0)))
+        self.assertThat(running.with_reloadable_from(changed).cold_limit, Equals(ColdLimit(1.5, 5)))
+
+    def test_an_invalid_bound_for_cold_servers_is_refused(self) -> None:
+        odd_values: tuple[Any, ...] = (None, -1, 'many', float('nan'), float('inf'), 1e300, [])
+        for broken in odd_values:
+            for name in ('cold_over', 'cold_slack'):
+                bounds = VALID_SETTINGS['bounds'] | {'cold_over': 1.5, 'cold_slack': 5}
+                content = VALID_SETTINGS | {'bounds': bounds | {name: broken}}
+                with self.subTest(name=name, broken=broken):
+                    error = self.assertRaises(ConfigurationError, load, content)
+                    self.assertThat(str(error), Contains('field missing or invalid'))
+
+    def test_opening_segments_per_second_of_a_cold_server(self) -> None:
+        for requests_per_s, expected in ((0.0, 5), (0.4, 5), (2.0, 8), (10.0, 20)):
+            limit = ColdLimit(1.5, 5.0)
+            self.assertThat(limit.segments_per_s(requests_per_s), Equals(expected))
+
     def test_only_seeds_and_time_limits_change_in_a_running_process(self) -> None:
         running = load(VALID_SETTINGS)
         seeds = ['10.9.9.9:8166']
