Count the servers of a zone that is taken back as cold

Servers that got no flows for a while may be cold, whatever their entries say. A mark on the zone makes them cold for the cold start of their service; it is kept apart from the entries, so that another report of a server or a later configuration does not end it.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType, NoneType
 from typing import Any, NamedTuple
 
-from berylstair.ids import BackendId, Endpoint, ServiceName
+from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId
 from berylstair.record import BackendServer
 from berylstair.tag import tag_of
 
@@ -225,6 +225,7 @@
         self._pool_by_service: dict[ServiceName, _ServicePool] = {}
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
+        self._cold_since_by_zone: dict[ZoneId, float] = {}
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -366,7 +367,39 @@
     def warmup_left_s(self, backend: BackendId, now: float) -> float:
         """Returns the seconds until a server is expected to reach full speed."""
         entry = self._entry_by_id.get(backend)
-        return max(entry.warmup_until - now, 0) if entry else 0
+        if entry is None:
+            return 0
+        zone_cold_since = self._cold_since_by_zone.get(entry.registration.server.zone, -math.inf)
+        cold_until = zone_cold_since + self._cold_duration_s(entry.registration.service)
+        return max(entry.warmup_until - now, cold_until - now, 0)
+
+    def cold_start(self, service: ServiceName) -> ColdStart | None:
+        """Returns the properties of a service's servers after a start, None if not stated."""
+        configuration = self.configuration
+        return configuration.cold_by_service.get(service) if configuration else None
+
+    def mark_zone_cold(self, zone: ZoneId, now: float) -> None:
+        """Counts the servers of a zone as cold, whatever their entries say.
+
+        Each counts as cold until at least the cold start of its service has passed since.
+
+        Args:
+            zone: Zone that gets flows again after it got none.
+            now: Current time in seconds.
+        """
+        self._cold_since_by_zone[zone] = now
+        for service, pool in self._pool_by_service.items():
+            if any(entry.registration.server.zone == zone for entry in pool.entry_by_id.values()):
+                self._recompute_accepting(service, now)
+
+    def count_cold_servers(self, now: float) -> int:
+        """Returns the number of cold servers of the services that state their cold start."""
+        return sum(
+            entry.removed_at is None
+            and self.cold_start(entry.registration.service) is not None
+            and self.warmup_left_s(backend, now) > 0
+            for backend, entry in self._entry_by_id.items()
+        )
 
     def started_at_ms(self, backend: BackendId) -> int:
         """Returns the start time of the server's process in ms since 1970, 0 if unknown."""
@@ -414,6 +447,10 @@
             self._pool_by_service[entry.registration.service].entry_by_id.pop(backend, None)
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
+    def _cold_duration_s(self, service: ServiceName) -> float:
+        cold_start = self.cold_start(service)
+        return cold_start.duration_s if cold_start else 0
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for address, route in configuration.route_by_address.items():
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,9 +1,12 @@
 """Tests of the directory of routes and backend servers."""
 
+from dataclasses import replace
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
 from berylstair.directory import (
+    ColdStart,
     Configuration,
     ConfigurationPublished,
     DecodedChange,
@@ -186,3 +189,32 @@
         apply_change(directory, 'config', 4, configuration_published(1))
         newer = [change.key for change in directory.changes_after(Position(1, 1))]
         self.assertThat(newer, Equals(['config']))
+
+
+class ZoneMarkedColdTest(TestCase):
+    """Servers of a zone that gets flows again after it got none."""
+
+    def test_its_servers_are_cold_for_the_cold_start_of_their_service(self) -> None:
+        directory = Directory()
+        apply_change(directory, 'servers/i-1', 5, server_listed('i-1'))
+        other = server_listed('i-2').registration
+        moved = other._replace(server=replace(other.server, zone=ZoneId('other')))
+        apply_change(directory, 'servers/i-2', 6, ServerListed(moved))
+        directory.mark_zone_cold(ZoneId('z'), 100.0)
+        # The configuration and another report of the server may arrive later.
+        configuration = Configuration(1, {}, 15.0, {SERVICE: ColdStart(20.0, 0.0)})
+        apply_change(directory, 'config', 7, ConfigurationPublished(configuration))
+        apply_change(directory, 'servers/i-1', 8, server_listed('i-1', version=(0, 1)), 105.0)
+        for now, expected in ((100.0, 20.0), (110.0, 10.0), (120.0, 0), (130.0, 0)):
+            with self.subTest(now=now):
+                left_s = directory.warmup_left_s(BackendId('i-1'), now)
+                self.assertThat(left_s, Equals(expected))
+                self.assertThat(directory.warmup_left_s(BackendId('i-2'), now), Equals(0))
+        self.assertThat(directory.count_cold_servers(110.0), Equals(1))
+
+    def test_a_server_stays_cold_as_long_as_its_entry_says(self) -> None:
+        directory = Directory()
+        registration = server_listed('i-1').registration._replace(warmup_left_s=40.0)
+        apply_change(directory, 'servers/i-1', 5, ServerListed(registration))
+        directory.mark_zone_cold(ZoneId('z'), 10.0)
+        self.assertThat(directory.warmup_left_s(BackendId('i-1'), 10.0), Equals(30.0))
