Limit the opening segments that a cold server gets

A server that has just started got flows like a slow one: all that its free slots could take. Where the operator sets a bound and the service states the rate of its cold servers, one instance counts the offers to them in a sliding window, and only while it holds the mandate: it ranks first, sees a majority of the instances known in the last minute, and has the votes of a majority of a few voters for each zone. Two instances that do not hear each other both rank first for themselves and both see a majority, so the votes are needed. Holders use a grant for 50 ms at most, forward no copy of an opening segment to a cold server without a grant, and correct its tag once, for which each grant keeps room.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -6,12 +6,14 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum, unique
 from typing import NamedTuple
 
 from berylstair.admission import MAX_WAIT_S, should_refuse
+from berylstair.cold_rate import NOT_COLD_MS
+from berylstair.cold_servers import ColdServers
 from berylstair.directory import Directory
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.lease_table import Lease, LeaseTable, Outcome
@@ -27,6 +29,7 @@
 FRESH_FLOW_MAX_AGE_S = 0.5
 # The warm-up of servers and the reachability of zones change more slowly than this.
 CANDIDATES_REFRESH_S = 0.1
+MS_PER_S = 1000
 
 
 @unique
@@ -44,12 +47,20 @@
     Attributes:
         server: Server that the flow is placed on, None unless it is placed.
         lease_count: Leases on that server at the time of the decision.
+        is_cold: Whether that server is cold and has a rate limit.
     """
 
     request: PlacementRequest
     decision: PlacementDecision
     server: BackendServer | None = None
     lease_count: int = 0
+    is_cold: bool = False
+
+    def cold_age_ms(self, now: float) -> int:
+        """Returns the age of the flow at a grant for a cold server, made at ``now``."""
+        if not self.is_cold:
+            return NOT_COLD_MS
+        return max(math.floor((now - self.request.arrived_at) * MS_PER_S), 0)
 
 
 @dataclass(slots=True)
@@ -58,7 +69,7 @@
 
     Attributes:
         candidates: Servers to choose from, as of ``refreshed_at``.
-        slots: Slots of all candidates that are not avoided.
+        slots: Slots of all candidates that are not avoided and may be offered flows.
     """
 
     lease_table: LeaseTable = field(default_factory=LeaseTable)
@@ -80,14 +91,17 @@
         self,
         directory: Directory,
         is_zone_reachable: Callable[[ZoneId], bool],
+        cold_servers: ColdServers,
     ) -> None:
         """Starts without leases.
 
         Args:
             directory: Directory of the servers in use.
             is_zone_reachable: Returns whether servers of a zone can be reached.
+            cold_servers: Determines which cold servers may be offered flows.
         """
         self._directory = directory
+        self._cold_servers = cold_servers
         self._is_zone_reachable = is_zone_reachable
         self._state_by_service: dict[ServiceName, _ServiceState] = {}
 
@@ -150,7 +164,10 @@
         """
         state = self._service_state(service)
         state.wait_queue.remove(flow)
-        return state.lease_table.release(flow, outcome, now, tag)
+        lease = state.lease_table.release(flow, outcome, now, tag)
+        if lease is not None:
+            self._cold_servers.record_opened(service, lease, tag)
+        return lease
 
     def add_lease(self, service: ServiceName, lease: Lease, now: float) -> None:
         """Counts a lease that another instance granted."""
@@ -222,7 +239,8 @@
         request: PlacementRequest,
         now: float,
     ) -> PlacementResult | None:
-        chosen = choose_server(candidates, request.constraints, now, requires_capacity=True)
+        offerable = self._cold_servers.offerable(request.service, candidates, now)
+        chosen = choose_server(offerable, request.constraints, now, requires_capacity=True)
         return self._grant_lease(state, request, chosen, now) if chosen else None
 
     def _repeat_decision(
@@ -239,7 +257,7 @@
         going through another instance. For the same reason another holder gets
         the server that the flow was placed on for the one before.
         """
-        opened = self._find_opened(state, candidates, request)
+        opened = self._find_opened(state, candidates, request, now)
         if opened is not None:
             return opened
         if request.flow in state.wait_queue.request_by_flow:
@@ -260,10 +278,7 @@
             lease.holder = request.holder
         for candidate in candidates:
             if candidate.server.id == lease.backend:
-                lease_count = state.lease_table.lease_count(lease.backend)
-                return PlacementResult(
-                    request, PlacementDecision.PLACED, candidate.server, lease_count
-                )
+                return self._repeat_offer(request, candidate, now)
         return None
 
     def _find_opened(
@@ -271,6 +286,7 @@
         state: _ServiceState,
         candidates: list[ServerCandidate],
         request: PlacementRequest,
+        now: float,
     ) -> PlacementResult | None:
         """Returns the server at which a released flow is open, whose opening came late."""
         tag = state.lease_table.tag_of_released(request.flow)
@@ -278,12 +294,24 @@
             return None
         for candidate in candidates:
             if tag_of(candidate.server.id) == tag:
-                lease_count = candidate.state.lease_count
-                return PlacementResult(
-                    request, PlacementDecision.PLACED, candidate.server, lease_count
-                )
+                return self._repeat_offer(request, candidate, now)
         return None
 
+    def _repeat_offer(
+        self, request: PlacementRequest, candidate: ServerCandidate, now: float
+    ) -> PlacementResult:
+        """Offers a flow again to the same server; to a cold one only within its rate limit.
+
+        Until then its holder requests the placement again, as for a flow that waits.
+        """
+        if not self._cold_servers.is_offerable(request.service, candidate, now):
+            return PlacementResult(request, PlacementDecision.WAITING)
+        is_cold = self._cold_servers.record_offer(request.service, candidate, request.flow, now)
+        lease_count = candidate.state.lease_count
+        return PlacementResult(
+            request, PlacementDecision.PLACED, candidate.server, lease_count, is_cold
+        )
+
     def _grant_lease(
         self,
         state: _ServiceState,
@@ -297,7 +325,10 @@
         )
         lease.is_queued = lease_count >= candidate.server.slots
         state.lease_table.add(lease, now)
-        return PlacementResult(request, PlacementDecision.PLACED, candidate.server, lease_count)
+        is_cold = self._cold_servers.record_offer(request.service, candidate, request.flow, now)
+        return PlacementResult(
+            request, PlacementDecision.PLACED, candidate.server, lease_count, is_cold
+        )
 
     def _candidates(self, service: ServiceName, now: float) -> list[ServerCandidate]:
         """Returns the servers to choose from, rebuilt when they change and at an interval."""
@@ -316,7 +347,10 @@
             )
             for server in reachable or accepting
         ]
-        state.slots = _count_usable_slots(state.candidates, now)
+        offerable = self._cold_servers.offerable(service, state.candidates, now)
+        state.slots = _count_usable_slots(offerable, now) or self._cold_servers.equivalent_slots(
+            service, len(state.candidates), state.lease_table.mean_work_s()
+        )
         return state.candidates
 
     def _service_state(self, service: ServiceName) -> _ServiceState:
@@ -327,7 +361,7 @@
         return state
 
 
-def _count_usable_slots(candidates: list[ServerCandidate], now: float) -> int:
+def _count_usable_slots(candidates: Sequence[ServerCandidate], now: float) -> int:
     """Returns the slots of the servers that are not avoided, those of all if all are."""
     usable = [candidate for candidate in candidates if not candidate.state.is_avoided(now)]
     return sum(candidate.server.slots for candidate in usable or candidates)
--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -48,6 +48,8 @@
     CHANGES_IGNORED = 'changes_ignored'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
+    COLD_OFFERS = 'cold_offers'
+    COLD_GRANTS_UNUSED = 'cold_grants_unused'
 
 
 class Counters:
--- a/berylstair/dispatcher_ranking.py
+++ b/berylstair/dispatcher_ranking.py
@@ -53,6 +53,12 @@
                 return peer
         return self._own_id
 
+    def first_ranked(
+        self, service: ServiceName, eligible: tuple[InstanceId, ...]
+    ) -> InstanceId | None:
+        """Returns the highest-ranked instance, suspect or not; None without eligible ones."""
+        return next(iter(self._cached_ranking(service, eligible)), None)
+
     def record_capacity(self, peer: InstanceId, capacity: int) -> None:
         """Records the capacity that a peer reports, in placements per second, at least 1."""
         capacity = max(capacity, 1)
--- a/berylstair/fleet.py
+++ b/berylstair/fleet.py
@@ -46,7 +46,13 @@
 
 
 class Fleet:
-    """Members of the fleet: who is alive, who dispatches, which zones are reachable."""
+    """Members of the fleet: who is alive, who dispatches, which zones are reachable.
+
+    Attributes:
+        zone_by_member: Zones of this instance and of all that were known in the last
+            minute. A change of the members replaces it, so that its identity tells them.
+        unknown_seeds: Seeds at which no instance is known.
+    """
 
     def __init__(self, settings: SteeringSettings, incarnation: int, rng: Random) -> None:
         """Starts without members; peers are found through the seeds.
@@ -74,6 +80,9 @@
         self._zone_probed_at = -math.inf
         self._zones_cached_for: frozenset[InstanceId] = frozenset()
         self._cached_zones: frozenset[ZoneId] = frozenset()
+        self.zone_by_member: dict[InstanceId, ZoneId] = {}
+        self.unknown_seeds: set[Endpoint] = set()
+        self._update_known_members()
 
     @property
     def own_id(self) -> InstanceId:
@@ -88,6 +97,7 @@
     def apply_settings(self, settings: SteeringSettings) -> None:
         """Applies changed seeds."""
         self._settings = settings
+        self._update_known_members()
 
     def record_activity(self, peer: InstanceId, now: float) -> None:
         """Counts any message from a peer as a sign that it is alive."""
@@ -144,9 +154,7 @@
         unreachable = self.unreachable_endpoints()
         if unreachable:
             targets.add(self._rng.choice(unreachable))
-        known = {member.forward for member in self._instance_by_id.values()}
-        unknown_seeds = set(self._settings.seeds) - known - {self._settings.peer_endpoint}
-        return sorted(targets | unknown_seeds), lost
+        return sorted(targets | self.unknown_seeds), lost
 
     def choose_zone_probes(self, peer: InstanceId, now: float) -> list[Endpoint]:
         """Chooses peers to probe in the zone of a lost one, since the zone may be cut off.
@@ -412,6 +420,14 @@
             membership.reset_peer_timeouts(now)
         membership.peer_timeout_s = peer_timeout_s
         membership.apply_listed_instances(list(self._instance_by_id.values()), now)
+        self._update_known_members()
+
+    def _update_known_members(self) -> None:
+        own_zone = {self.own_id: self._settings.zone}
+        members = self._instance_by_id.values()
+        self.zone_by_member = own_zone | {member.id: member.zone for member in members}
+        known = {member.forward for member in members} | {self._settings.peer_endpoint}
+        self.unknown_seeds = set(self._settings.seeds) - known
 
     def _declare_lost(self, peer: InstanceId, now: float) -> bool:
         """Declares a peer lost; returns whether it was reachable until now."""
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -8,6 +8,7 @@
 
 from berylstair.assigner import FRESH_FLOW_MAX_AGE_S, PlacementDecision, PlacementResult
 from berylstair.catalogue import LogEvent
+from berylstair.cold_offers import ColdOffers
 from berylstair.counter import RetryReason, Traffic
 from berylstair.directory import Route
 from berylstair.errors import ErrorKind
@@ -64,6 +65,7 @@
         """Creates an opener that works on the state of a steering core."""
         self._core = core
         self._tag_corrector = TagCorrector(core)
+        self._cold_offers = ColdOffers(core)
         self._retransmission_handler_by_phase: dict[
             FlowPhase, Callable[[TrackedFlow, Segment, float], None]
         ] = {
@@ -119,9 +121,13 @@
         """Delivers a decision of this instance to the instance that holds the flow."""
         request = placement.request
         if request.holder != self._core.fleet.own_id:
-            backend = placement.server.id if placement.server else ''
             reply = PlacementReplyRow(
-                request.flow, request.service, placement.decision, backend, placement.lease_count
+                request.flow,
+                request.service,
+                placement.decision,
+                placement.server.id if placement.server else '',
+                placement.lease_count,
+                placement.cold_age_ms(now),
             )
             self._core.add_row(PlacementReplyBatch, request.holder, reply)
             return
@@ -129,6 +135,8 @@
         if flow is None or flow.phase not in {FlowPhase.ASKED, FlowPhase.WAITING}:
             self._core.assigner.release(request.service, request.flow, Outcome.ENDED, now)
             return
+        if placement.server is not None and placement.is_cold:
+            self._cold_offers.record_offer(flow, placement.server, now)
         detail = f'by=self leases={placement.lease_count}'
         self.handle_decision(flow, placement.decision, placement.server, detail, now)
 
@@ -218,13 +226,15 @@
     def _handle_offered_retransmission(
         self, flow: TrackedFlow, segment: Segment, now: float
     ) -> None:
-        if flow.offer_count >= MAX_OFFERS:
+        if flow.offer_count >= MAX_OFFERS or self._cold_offers.needs_grant(flow, now):
             self._request_another_server(flow, now)
         else:
             self._forward_retransmission(flow, segment, now)
 
-    def _forward_retransmission(self, flow: TrackedFlow, segment: Segment, _now: float) -> None:
-        if flow.server is not None:
+    def _forward_retransmission(self, flow: TrackedFlow, segment: Segment, now: float) -> None:
+        if self._cold_offers.needs_grant(flow, now):
+            self._drop_retransmission(flow, segment, now)
+        elif flow.server is not None:
             self._core.actions.append(SendSegment(flow.server, segment, flow.tag))
 
     def _open_flow(self, segment: Segment, now: float, waited_s: float) -> None:
--- a/berylstair/flowtrack.py
+++ b/berylstair/flowtrack.py
@@ -9,13 +9,14 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
+from typing import NamedTuple
 
 from berylstair.directory import Route
 from berylstair.ids import BackendId, Endpoint, FlowKey, InstanceId, ServiceName
 from berylstair.record import BackendServer
 from berylstair.segment import SEQUENCE_SPACE, Segment, service_address
 
-__all__ = ['FlowPhase', 'TrackedFlow', 'TrackedFlowTable']
+__all__ = ['ColdOffer', 'FlowPhase', 'TrackedFlow', 'TrackedFlowTable']
 
 # Ended flows are kept while retransmissions of their last segments may arrive.
 ENDED_FLOW_RETENTION_S = 3.0
@@ -39,6 +40,13 @@
     OVER = 'over'
 
 
+class ColdOffer(NamedTuple):
+    """An offer of a flow to a cold server."""
+
+    backend: BackendId
+    offered_at: float
+
+
 @dataclass(slots=True)
 class TrackedFlow:
     """State of one flow.
@@ -59,6 +67,7 @@
         is_known_elsewhere: Whether another instance may have offered the flow too.
         copies_left: Copies of the opening segment that still correct the tags of
             servers that were offered the flow in vain.
+        cold_offers: Offers of the flow to cold servers.
         has_sent_reset: Whether a reset was sent to the caller; it may be lost.
         initial_acknowledged: Acknowledgement number of the segment that
             confirmed the server.
@@ -87,6 +96,7 @@
     copies_left: int = 0
     initial_acknowledged: int = 0
     has_sent_reset: bool = False
+    cold_offers: tuple[ColdOffer, ...] = ()
 
     @property
     def address(self) -> Endpoint:
@@ -100,11 +110,14 @@
 
     @property
     def servers_offered_in_vain(self) -> list[BackendServer]:
-        """Servers that the flow was offered to and that do not hold it; empty if not known."""
+        """Servers that the flow was offered to and that do not hold it; empty if not known.
+
+        Without those that were cold, which may not get any number of opening segments.
+        """
         if not self.is_server_confirmed or self.server is None:
             return []
-        own_id = self.server.id
-        return [server for server in self.offered if server.id != own_id]
+        left_out = {self.server.id, *(offer.backend for offer in self.cold_offers)}
+        return [server for server in self.offered if server.id not in left_out]
 
     def is_answered_by(self, segment: Segment) -> bool:
         """Returns whether a segment shows that the caller has received part of the response."""
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from berylstair.assigner import PlacementDecision
+from berylstair.cold_offers import ColdOffers
 from berylstair.errors import ErrorKind
 from berylstair.flow_opener import FlowOpener
 from berylstair.flowtrack import FlowPhase
@@ -44,6 +45,7 @@
         """
         self._core = core
         self._flow_opener = flow_opener
+        self._cold_offers = ColdOffers(core)
         self._reported_services: set[ServiceName] = set()
         self._is_retry_scheduled = False
         self._handler_by_message_type = self._message_handlers()
@@ -154,8 +156,12 @@
                 self._core.add_row(ReleaseBatch, peer, release)
             return
         server = self._find_server(flow.service, row.backend, now)
-        if row.decision == PlacementDecision.PLACED and server is None:
-            # The peer's directory is newer or older than ours: place the flow locally.
+        is_usable = server is not None and self._cold_offers.accept_grant(
+            flow, server, row.cold_age_ms, now
+        )
+        if row.decision == PlacementDecision.PLACED and not is_usable:
+            # The peer's directory is newer or older than ours, or its grant is late: place
+            # the flow locally.
             self._flow_opener.place_locally(flow, now)
             return
         if server is not None:
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 from berylstair.catalogue import LogEvent
+from berylstair.cold_mandate import RENEWAL_INTERVAL_S
+from berylstair.cold_votes import ColdVotes
 from berylstair.counter import Traffic
 from berylstair.directory import Position, ServerRegistration
 from berylstair.directory_source import SourceListing
@@ -30,6 +32,8 @@
 from berylstair.steering_action import SendSegment, SteeringAction
 from berylstair.steering_core import SteeringCore
 from berylstair.steering_message import (
+    ColdVote,
+    ColdVoteRequest,
     DirectoryUpdate,
     FleetHeartbeat,
     PeerLost,
@@ -82,17 +86,21 @@
         self._placement = PlacementProtocol(self.core, self._flow_opener)
         self.directory_sync = DirectorySync(self.core, decode_change)
         self._liveness = LivenessProtocol(self.core, self._placement, self.directory_sync)
+        cold_votes = ColdVotes(self.core, now)
         self._handler_by_message_type: Mapping[
             type[Any], Callable[[InstanceId, Any, float], None]
         ] = {
             DirectoryUpdate: self.directory_sync.handle_update,
             PeerLost: self._liveness.handle_peer_lost,
+            ColdVoteRequest: cold_votes.handle_request,
+            ColdVote: cold_votes.handle_vote,
         }
         for period_s, task in (
             (FLEET_HEARTBEAT_INTERVAL_S, self._liveness.send_periodic_heartbeat),
             (PROBE_INTERVAL_S, self._liveness.probe_peers),
             (FLEET_HEARTBEAT_INTERVAL_S, self._check_directory_age),
             (REPORT_INTERVAL_S, self._prune_and_report),
+            (RENEWAL_INTERVAL_S, cold_votes.request_votes),
         ):
             self._schedule_periodic(period_s, task, now)
 
@@ -345,6 +353,8 @@
         core.assigner.prune(now)
         for line in core.assigner.describe(now):
             core.log(LogEvent.LOAD_COUNTED, line)
+        for cold_line in core.cold_servers.report_deferred(now):
+            core.log(LogEvent.COLD_RATE_REACHED, cold_line)
         self._placement.send_lease_reports(now)
 
     def _check_directory_age(self, now: float) -> None:
--- a/berylstair/steering_core.py
+++ b/berylstair/steering_core.py
@@ -7,6 +7,8 @@
 
 from berylstair.assigner import Assigner
 from berylstair.catalogue import LogEvent
+from berylstair.cold_mandate import ColdMandates
+from berylstair.cold_servers import ColdServers
 from berylstair.counter import Counters
 from berylstair.directory import Directory
 from berylstair.fleet import Fleet
@@ -39,9 +41,13 @@
         self.rng = rng
         self.directory = Directory()
         self.fleet = Fleet(settings, incarnation, rng)
-        self.assigner = Assigner(self.directory, self.fleet.is_zone_reachable)
-        self.flows = TrackedFlowTable()
         self.counters = Counters()
+        self.cold_mandates = ColdMandates(self.fleet)
+        self.cold_servers = ColdServers(
+            self.directory, settings.cold_limit, self.cold_mandates.is_held, self.counters
+        )
+        self.assigner = Assigner(self.directory, self.fleet.is_zone_reachable, self.cold_servers)
+        self.flows = TrackedFlowTable()
         self.latencies = Latencies()
         self.timers = Timers()
         self.actions: list[SteeringAction] = []
@@ -53,6 +59,7 @@
         """Applies changed settings: seeds and limits."""
         self.settings = settings
         self.fleet.apply_settings(settings)
+        self.cold_servers.cold_limit = settings.cold_limit
 
     def log(self, event: LogEvent, detail: str) -> None:
         """Queues a log entry."""
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -10,12 +10,15 @@
 
 from berylstair.assigner import PlacementDecision
 from berylstair.codec import MessageCodec
+from berylstair.cold_rate import NOT_COLD_MS
 from berylstair.directory import Position, SourceChange, WriterVersion
 from berylstair.lease_table import Outcome
 
 __all__ = [
     'STEERING_CODEC',
     'UNCONFIRMED_MS',
+    'ColdVote',
+    'ColdVoteRequest',
     'DirectoryChangeRow',
     'DirectoryReply',
     'DirectoryRequest',
@@ -68,13 +71,19 @@
 
 
 class PlacementReplyRow(NamedTuple):
-    """Answer to a placement request; ``backend`` is empty unless the flow is placed."""
+    """Answer to a placement request; ``backend`` is empty unless the flow is placed.
+
+    Attributes:
+        cold_age_ms: Age of the flow when it was granted a cold server, counted from the
+            arrival of its first opening segment; ``NOT_COLD_MS`` for any other server.
+    """
 
     flow: bytes
     service: str
     decision: PlacementDecision
     backend: str
     lease_count: int
+    cold_age_ms: int = NOT_COLD_MS
 
 
 class ReleaseRow(NamedTuple):
@@ -242,6 +251,30 @@
         return Position(self.era, self.revision)
 
 
+class ColdVoteRequest(NamedTuple):
+    """Asks for votes for the sender, so that it may offer flows to cold servers.
+
+    Attributes:
+        sent_at_ms: When it was sent, on the sender's clock.
+        services: Services whose votes are requested.
+    """
+
+    sent_at_ms: int
+    services: tuple[str, ...]
+
+
+class ColdVote(NamedTuple):
+    """Votes for the receiver.
+
+    Attributes:
+        requested_at_ms: ``sent_at_ms`` of the request.
+        services: Services for which the sender votes for the receiver.
+    """
+
+    requested_at_ms: int
+    services: tuple[str, ...]
+
+
 _MESSAGE_TYPES: tuple[type[Any], ...] = (
     FleetHeartbeat,
     PlacementRequestBatch,
@@ -252,6 +285,8 @@
     DirectoryReply,
     DirectoryUpdate,
     PeerLost,
+    ColdVoteRequest,
+    ColdVote,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
@@ -261,6 +296,8 @@
     (LeaseReport, 'rows'): LeaseRow,
     (DirectoryReply, 'rows'): DirectoryChangeRow,
     (DirectoryUpdate, 'rows'): DirectoryChangeRow,
+    (ColdVoteRequest, 'services'): str,
+    (ColdVote, 'services'): str,
 }
 STEERING_CODEC = MessageCodec(_MESSAGE_TYPES, _ROW_TYPE_BY_FIELD)
 
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -63,6 +63,16 @@
                 core.assigner.waiting_count,
             ),
             ('leases', 'Leases counted by this dispatching instance.', core.assigner.lease_count),
+            (
+                'cold_servers',
+                'Cold servers of the services that state their cold start.',
+                core.directory.count_cold_servers(self._now),
+            ),
+            (
+                'cold_mandates',
+                'Services for which this instance may offer flows to cold servers.',
+                core.cold_mandates.held_count(self._now),
+            ),
             (
                 'peers_reachable',
                 'Other instances that are reachable.',
--- a/berylstair/tag_correction.py
+++ b/berylstair/tag_correction.py
@@ -6,6 +6,7 @@
 harmless, whatever instance has the caller's next segment.
 """
 
+from berylstair.cold_offers import ColdOffers
 from berylstair.counter import RetryReason
 from berylstair.flowtrack import TrackedFlow
 from berylstair.steering_action import SendSegment
@@ -30,9 +31,11 @@
     def __init__(self, core: SteeringCore) -> None:
         """Creates a corrector that queues its copies with a steering core."""
         self._core = core
+        self._cold_offers = ColdOffers(core)
 
     def start(self, flow: TrackedFlow, now: float) -> None:
         """Plans the copies for a flow whose server has just become known."""
+        self._cold_offers.correct_tags(flow, now)
         others = flow.servers_offered_in_vain
         if not others or flow.opening_segment is None:
             return
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from berylstair.directory import (
+    ColdStart,
     Configuration,
     ConfigurationPublished,
     DecodedChange,
@@ -30,7 +31,7 @@
 from berylstair.steering_action import FetchDirectory, ResetCaller, SendMessage, SendSegment
 from berylstair.steering_links import FETCH_TIMEOUT_S
 from berylstair.steering_message import STEERING_CODEC
-from berylstair.steering_settings import Capacity, SteeringSettings, TimeLimits
+from berylstair.steering_settings import Capacity, ColdLimit, SteeringSettings, TimeLimits
 from berylstair.tag import tag_of
 
 __all__ = ['CallerFlow', 'SimulatedServer', 'SimulatedWorld']
@@ -89,6 +90,7 @@
         open_flows: Keys of the flows that it holds.
         tag_by_flow: Tag of the last segment received of each flow, which it sends.
         opening_count_by_flow: Opening segments received, by flow key.
+        opening_times: When each opening segment arrived.
         misrouted_segments: Segments received of flows that it does not hold.
     """
 
@@ -102,6 +104,7 @@
     open_flows: set[FlowKey] = field(default_factory=set)
     tag_by_flow: dict[FlowKey, int] = field(default_factory=dict)
     opening_count_by_flow: Counter[FlowKey] = field(default_factory=Counter)
+    opening_times: list[float] = field(default_factory=list)
     misrouted_segments: int = 0
 
 
@@ -136,6 +139,7 @@
         seed: int = 1,
         cores: tuple[float, ...] = (1.0,),
         confirms_sources: bool = True,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         """Starts instances that have the first one as their seed.
 
@@ -146,8 +150,10 @@
             cores: CPU capacities, in cores, given to the instances in rotation.
             confirms_sources: Whether every instance hears all the time that its
                 directory is up to date; otherwise they have to read the store.
+            cold_limit: Bound for cold servers in the settings of every instance.
         """
         self._cores = cores
+        self._cold_limit = cold_limit
         self.now = 100.0
         self.rng = Random(seed)
         self.steering_by_ip: dict[str, SteeringInstance] = {}
@@ -233,6 +239,7 @@
             source_endpoint=Endpoint('10.9.0.1', 80),
             capacity=Capacity(self._cores[number % len(self._cores)], 1000.0),
             time_limits=TimeLimits(3.0, 3.0, 6.0, 60.0, 3.6),
+            cold_limit=self._cold_limit,
         )
         incarnation = round((self.now + clock_ahead_s) * 1000)
         rng = Random(self.rng.random())
@@ -292,15 +299,30 @@
             self.server_by_id[backend] = SimulatedServer(entry, index + 1)
             self.publish(f'servers/{backend}', ServerListed(ServerRegistration(entry, SERVICE)))
 
-    def add_route(self, version: int = 1, only_ip: str = '') -> None:
-        """Publishes a configuration with one route, which one instance or all read."""
-        route = Route('status', SERVICE_ADDRESS, {SERVICE: 1.0}, True, 4.0, 0.25, 2)
+    def list_cold(self, backend: BackendId, cold_s: float) -> None:
+        """Registers a server anew, as after a restart, with the time that it stays cold."""
+        entry = self.server_by_id[backend].backend_server
+        started_at_ms = round(self.now * 1000)
         self.publish(
-            'config',
-            ConfigurationPublished(Configuration(version, {SERVICE_ADDRESS: route}, 15)),
-            only_ip,
+            f'servers/{backend}',
+            ServerListed(ServerRegistration(entry, SERVICE, started_at_ms, 1, cold_s)),
         )
 
+    def add_route(
+        self, version: int = 1, only_ip: str = '', cold_start: ColdStart | None = None
+    ) -> None:
+        """Publishes a configuration with one route, which one instance or all read.
+
+        Args:
+            version: Version of the configuration.
+            only_ip: Only instance that reads it; empty for all.
+            cold_start: Cold start of the service, None if it states none.
+        """
+        route = Route('status', SERVICE_ADDRESS, {SERVICE: 1.0}, True, 4.0, 0.25, 2)
+        cold_by_service = {SERVICE: cold_start} if cold_start else {}
+        configuration = Configuration(version, {SERVICE_ADDRESS: route}, 15, cold_by_service)
+        self.publish('config', ConfigurationPublished(configuration), only_ip)
+
     def remove_server(self, backend: BackendId) -> None:
         """Removes a server's entry from the store."""
         self.publish(f'servers/{backend}', ServerRemoved(backend))
@@ -586,6 +608,7 @@
         server.tag_by_flow[flow.key] = segment.tag
         if segment.is_opening:
             server.opening_count_by_flow[flow.key] += 1
+            server.opening_times.append(self.now)
             if flow.key not in server.open_flows:
                 self._send_accept(flow, server, ACCEPT_REPEATED_AFTER_S if is_first else ())
         elif flow.key in server.open_flows:
