--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -49,6 +49,8 @@
     REQUESTS_STALLED = 'requests_stalled'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
+    COLD_OFFERS = 'cold_offers'
+    COLD_GRANTS_UNUSED = 'cold_grants_unused'
 
 
 class Counters:
--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from types import NoneType
+from types import MappingProxyType, NoneType
 from typing import Any, NamedTuple
 
 from berylstair.evacuation import EvacuationTable
@@ -13,6 +13,7 @@
 
 __all__ = [
     'START_POSITION',
+    'ColdStart',
     'Configuration',
     'ConfigurationPublished',
     'DecodedChange',
@@ -30,8 +31,9 @@
 
 # A removed server is kept this much longer than its last flow may last.
 REMOVED_SERVER_MARGIN_S = 15.0
-# Least time for which the servers of a zone that was taken back count as cold.
-TAKEN_BACK_COLD_S = 2.0
+# Time for which the servers of a zone that was taken back count as cold if their service
+# does not state how long a start takes.
+DEFAULT_COLD_S = 2.0
 
 
 class Position(NamedTuple):
@@ -124,12 +126,29 @@
     priority: int
 
 
+class ColdStart(NamedTuple):
+    """Properties of a service's servers after a start.
+
+    Attributes:
+        duration_s: Seconds for which a server is cold after a start during traffic.
+        requests_per_s: Requests per second that a cold server can handle.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 class Configuration(NamedTuple):
-    """All routes of one published version."""
+    """All routes of one published version.
+
+    Attributes:
+        cold_by_service: Cold starts of the services that state them.
+    """
 
     version: int
     route_by_address: dict[Endpoint, Route]
     idle_timeout_s: float
+    cold_by_service: Mapping[ServiceName, ColdStart] = MappingProxyType({})
 
 
 class ServerListed(NamedTuple):
@@ -230,7 +249,7 @@
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
         self._ids_by_zone: dict[ZoneId, set[BackendId]] = {}
         self.evacuations = EvacuationTable()
-        self._taken_back_at_by_zone: dict[ZoneId, float] = {}
+        self._cold_since_by_zone: dict[ZoneId, float] = {}
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -324,15 +343,6 @@
         entries = (self._entry_by_id[backend] for backend in self._ids_by_zone.get(zone, ()))
         return sum(entry.removed_at is None for entry in entries)
 
-    def mark_zone_cold(self, zone: ZoneId, now: float) -> None:
-        """Lets the servers of a zone count as cold from now on, whatever their entries say."""
-        self._taken_back_at_by_zone[zone] = now
-        for backend in self._ids_by_zone.get(zone, ()):
-            entry = self._entry_by_id[backend]
-            entry.warmup_until = max(
-                entry.warmup_until, self._taken_back_cold_until(entry.registration)
-            )
-
     def advance(self, position: Position, now: float) -> None:
         """Records that every change up to a position has been applied."""
         if position > self.position:
@@ -411,7 +421,39 @@
     def warmup_left_s(self, backend: BackendId, now: float) -> float:
         """Returns the seconds until a server is expected to reach full speed."""
         entry = self._entry_by_id.get(backend)
-        return max(entry.warmup_until - now, 0) if entry else 0
+        if entry is None:
+            return 0
+        zone_cold_since = self._cold_since_by_zone.get(entry.registration.server.zone, -math.inf)
+        cold_until = zone_cold_since + self._cold_duration_s(entry.registration.service)
+        return max(entry.warmup_until - now, cold_until - now, 0)
+
+    def cold_start(self, service: ServiceName) -> ColdStart | None:
+        """Returns the properties of a service's servers after a start, None if not stated."""
+        configuration = self.configuration
+        return configuration.cold_by_service.get(service) if configuration else None
+
+    def mark_zone_cold(self, zone: ZoneId, now: float) -> None:
+        """Counts the servers of a zone as cold, whatever their entries say.
+
+        Each counts as cold until at least the cold start of its service has passed since.
+
+        Args:
+            zone: Zone that gets flows again after it got none.
+            now: Current time in seconds.
+        """
+        self._cold_since_by_zone[zone] = now
+        for service, pool in self._pool_by_service.items():
+            if any(entry.registration.server.zone == zone for entry in pool.entry_by_id.values()):
+                self._recompute_accepting(service, now)
+
+    def count_cold_servers(self, now: float) -> int:
+        """Returns the number of cold servers of the services that state their cold start."""
+        return sum(
+            entry.removed_at is None
+            and self.cold_start(entry.registration.service) is not None
+            and self.warmup_left_s(backend, now) > 0
+            for backend, entry in self._entry_by_id.items()
+        )
 
     def started_at_ms(self, backend: BackendId) -> int:
         """Returns the start time of the server's process in ms since 1970, 0 if unknown."""
@@ -460,6 +502,10 @@
             self._pool_by_service[entry.registration.service].entry_by_id.pop(backend, None)
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
+    def _cold_duration_s(self, service: ServiceName) -> float:
+        cold_start = self.cold_start(service)
+        return cold_start.duration_s if cold_start else DEFAULT_COLD_S
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for address, route in configuration.route_by_address.items():
@@ -477,11 +523,7 @@
             self._remove_from_zone(previous.registration.server)
         zone = registration.server.zone
         self._ids_by_zone.setdefault(zone, set()).add(backend)
-        # Each status report is a new entry; the zone's servers stay cold all the same.
-        warmup_until = max(
-            now + registration.warmup_left_s, self._taken_back_cold_until(registration)
-        )
-        entry = _ServerEntry(registration, warmup_until)
+        entry = _ServerEntry(registration, now + registration.warmup_left_s)
         self._entry_by_id[backend] = entry
         self._entries_by_tag.setdefault(tag_of(backend), {})[backend] = entry
         pool = self._pool_by_service.setdefault(registration.service, _ServicePool())
@@ -514,11 +556,6 @@
             self.evacuations.end(change.zone, now + grace_s)
             self.end_evacuations(now)
 
-    def _taken_back_cold_until(self, registration: ServerRegistration) -> float:
-        """Returns until when a server is cold because its zone was taken back."""
-        taken_back_at = self._taken_back_at_by_zone.get(registration.server.zone, -math.inf)
-        return taken_back_at + TAKEN_BACK_COLD_S
-
     def _remove_from_zone(self, server: BackendServer) -> None:
         zone_ids = self._ids_by_zone[server.zone]
         zone_ids.discard(server.id)
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -74,6 +74,16 @@
                 'Leases counted by this dispatching instance on servers of evacuated zones.',
                 core.assigner.evacuated_lease_count,
             ),
+            (
+                'cold_servers',
+                'Cold servers of the services that state their cold start.',
+                core.directory.count_cold_servers(self._now),
+            ),
+            (
+                'cold_mandates',
+                'Services for which this instance may offer flows to cold servers.',
+                core.cold_mandates.held_count(self._now),
+            ),
             (
                 'peers_reachable',
                 'Other instances that are reachable.',
