Keep a recent offer to a cold server when its caller sends a copy

A copy of the opening segment needs a grant at a cold server, so the holder requested the placement again, and the server's offer of a few milliseconds before counted as unanswered. The copy is dropped until the offer has timed out. A test without a network covers it, and what else a holder sends to cold servers: late grants, copies, the single correction.

tests/test_cold_offers.py: 5 passed.

--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -226,7 +226,10 @@
     def _handle_offered_retransmission(
         self, flow: TrackedFlow, segment: Segment, now: float
     ) -> None:
-        if flow.offer_count >= MAX_OFFERS or self._cold_offers.needs_grant(flow, now):
+        needs_grant = self._cold_offers.needs_grant(flow, now)
+        if needs_grant and now - flow.offered_at < OFFER_TIMEOUT_S:
+            self._drop_retransmission(flow, segment, now)
+        elif needs_grant or flow.offer_count >= MAX_OFFERS:
             self._request_another_server(flow, now)
         else:
             self._forward_retransmission(flow, segment, now)
