--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -10,6 +10,7 @@
 from berylstair.directory import ColdStart
 from berylstair.ids import BackendId, ZoneId
 from berylstair.membership import PEER_TIMEOUT_S
+from berylstair.steering_metrics import render_steering_metrics
 from berylstair.steering_settings import ColdLimit
 from emulator.simulation import SERVICE, SimulatedServer, SimulatedWorld
 
@@ -271,6 +272,20 @@
         self.assertThat({outcome for _, outcome in decisions[0]}, Equals({'answered'}))
         self.assertThat(decisions[1:], Equals([decisions[0], decisions[0]]))
 
+    def test_the_gauges_show_the_cold_servers_and_the_only_mandate(self) -> None:
+        world = make_world()
+        list_cold(world)
+        schedule_load(world, 8)
+        world.run(8)
+        pages = [
+            render_steering_metrics(steering, world.now).splitlines()
+            for steering in world.steering_by_ip.values()
+        ]
+        for page in pages:
+            self.assertThat(page, Contains('berylstair_cold_servers 6.0'))
+        holders = [page for page in pages if 'berylstair_cold_mandates 1.0' in page]
+        self.assertThat(len(holders), Equals(1))
+
     def test_the_event_is_logged_at_most_once_a_second_for_a_service(self) -> None:
         world = make_world()
         list_cold(world)
--- a/tests/test_steering_message.py
+++ b/tests/test_steering_message.py
@@ -12,6 +12,8 @@
 from berylstair.errors import DecodeError
 from berylstair.steering_message import (
     STEERING_CODEC,
+    ColdVote,
+    ColdVoteRequest,
     DirectoryChangeRow,
     DirectoryReply,
     DirectoryRequest,
@@ -52,6 +54,8 @@
         (MemberRow('entry-3', 'z', '10.0.0.3'),),
     ),
     PeerLost('entry-3', 7),
+    ColdVoteRequest(101_000, (SERVICE, 'other')),
+    ColdVote(101_000, (SERVICE, 'other')),
     PlacementRequestBatch((PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, b'abcd'),)),
     PlacementReplyBatch((PlacementReplyRow(FLOW, SERVICE, 1, BACKEND, 0),)),
     ReleaseBatch((ReleaseRow(FLOW, SERVICE, 1),)),
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -21,6 +21,8 @@
 FLOW_OFFER_TESTS = 'tests/test_flow_offers.py'
 PEER_CLAIM_TESTS = 'tests/test_peer_claims.py'
 FAR_AHEAD = 'far_ahead'
+COLD_SERVER_TESTS = 'tests/test_cold_servers.py'
+COLD_SERVERS = 'platform: cold servers'
 
 
 @dataclass(frozen=True, slots=True)
@@ -571,6 +573,60 @@
         'no_answer_time',
         'tests/test_peer_numbers.py',
     ),
+    MutationCase(
+        COLD_SERVERS,
+        'offers are limited in any sliding second',
+        'cold_rate',
+        'return count + 1 + copies <= limit',
+        'return True',
+        'all_servers_are_cold',
+        COLD_SERVER_TESTS,
+    ),
+    MutationCase(
+        COLD_SERVERS,
+        'an instance needs votes',
+        'cold_mandate',
+        'if now >= mandate.quorum_until or not self._is_eligible(service):',
+        'if not self._is_eligible(service):',
+        'do_not_hear_each_other',
+        COLD_SERVER_TESTS,
+    ),
+    MutationCase(
+        COLD_SERVERS,
+        'a new holder of the mandate waits',
+        'cold_mandate',
+        'HANDOVER_S = WINDOW_S + AGREEMENT_S',
+        'HANDOVER_S = 0',
+        'restarts_at_once',
+        COLD_SERVER_TESTS,
+    ),
+    MutationCase(
+        COLD_SERVERS,
+        'late grants are not used',
+        'cold_offers',
+        'is_usable = -_ROUNDING_S <= transit_s <= MAX_GRANT_TRANSIT_S',
+        'is_usable = True',
+        'late_grant',
+        'tests/test_cold_offers.py',
+    ),
+    MutationCase(
+        COLD_SERVERS,
+        'copies of opening segments need a grant',
+        'cold_offers',
+        'return server is not None and (',
+        'return False and (',
+        'copy_of_the_caller',
+        'tests/test_cold_offers.py',
+    ),
+    MutationCase(
+        COLD_SERVERS,
+        'a cold server gets one correcting copy',
+        'flowtrack',
+        'left_out = {self.server.id, *(offer.backend for offer in self.cold_offers)}',
+        'left_out = {self.server.id}',
+        'corrected_once',
+        'tests/test_cold_offers.py',
+    ),
 )
 
 
