Tell holders of flows that they placed themselves at which server these opened

Cause: an instance that placed a flow itself, as its dispatching instance did not respond (E411), was not told where the flow opened. In a fleet of more than 32 reachable peers no instance broadcasts, and the dispatching instance does not know that holder. The server that was offered the flow in vain goes on answering with its own tag. Three paths lost the tag as well: a release after the holder had given up its lease, a release without a tag that ended the watch on an open flow, and instances that disagree on who dispatches.

Change: the holder sends a notice to the two instances that rank first for the service and to the first of its own zone, at once if the first-ranked one did not place the flow, and with its reports while the server is not known, for 8 s and at most 100 in a report. These pass on the tag, whichever of notice and release comes first. Releases of flows that others may have offered go to the same instances. An instance at which a flow is open answers a release without a tag. No message depends on the size of the fleet.

The cases in tests/test_offer_notice.py fail without the change and pass on this code.

--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -46,6 +46,7 @@
     EJECTIONS = 'ejections'
     SOURCE_RESTORES = 'source_restores'
     CHANGES_IGNORED = 'changes_ignored'
+    OFFER_NOTICES = 'offer_notices'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
 
--- a/berylstair/dispatcher_ranking.py
+++ b/berylstair/dispatcher_ranking.py
@@ -48,7 +48,7 @@
             eligible: Instances that are alive and not leaving.
             now: Current time in seconds.
         """
-        for peer in self._cached_ranking(service, eligible):
+        for peer in self.ranking(service, eligible):
             if self._suspect_until_by_id.get(peer, 0) <= now:
                 return peer
         return self._own_id
@@ -72,9 +72,8 @@
         self._timeouts_by_id.pop(peer, None)
         self._suspect_until_by_id.pop(peer, None)
 
-    def _cached_ranking(
-        self, service: ServiceName, eligible: tuple[InstanceId, ...]
-    ) -> list[InstanceId]:
+    def ranking(self, service: ServiceName, eligible: tuple[InstanceId, ...]) -> list[InstanceId]:
+        """Returns the eligible instances by rank, suspect ones included."""
         if eligible != self._cached_for_eligible:
             self._cached_for_eligible = eligible
             self._ranking_by_service = {}
--- a/berylstair/fleet.py
+++ b/berylstair/fleet.py
@@ -306,6 +306,10 @@
         """Returns the instance that dispatches for a service in the view of this instance."""
         return self.dispatcher_ranking.first_available(service, self.membership.eligible, now)
 
+    def rank_dispatchers(self, service: ServiceName) -> list[InstanceId]:
+        """Returns the instances alive by their rank for a service, silent ones included."""
+        return self.dispatcher_ranking.ranking(service, self.membership.eligible)
+
     def is_zone_reachable(self, zone: ZoneId) -> bool:
         """Returns whether the servers of a zone can probably be reached.
 
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -15,6 +15,7 @@
 from berylstair.flowtrack import FlowPhase, TrackedFlow
 from berylstair.ids import BackendId, InstanceId, ServiceName
 from berylstair.lease_table import Outcome
+from berylstair.offer_notice import OfferNotifier
 from berylstair.record import BackendServer
 from berylstair.rendezvous import weighted_rank
 from berylstair.segment import SEQUENCE_SPACE, Segment
@@ -64,6 +65,7 @@
         """Creates an opener that works on the state of a steering core."""
         self._core = core
         self._tag_corrector = TagCorrector(core)
+        self.offer_notifier = OfferNotifier(core)
         self._retransmission_handler_by_phase: dict[
             FlowPhase, Callable[[TrackedFlow, Segment, float], None]
         ] = {
@@ -140,10 +142,13 @@
         """
         core = self._core
         tag = flow.tag if flow.is_server_confirmed else 0
-        lease = core.assigner.release(flow.service, flow.key, outcome, now, tag)
+        core.assigner.release(flow.service, flow.key, outcome, now, tag)
         peers = {core.fleet.find_dispatcher(flow.service, now), flow.dispatcher}
-        if lease is not None and tag:
-            peers |= lease.all_holders()
+        if tag:
+            peers |= core.assigner.lease_table(flow.service).holders_of_released(flow.key)
+            peers |= self.offer_notifier.take_holders(flow.key)
+            if flow.may_be_offered_elsewhere:
+                peers.update(self.offer_notifier.first_ranked(flow.service))
         row = ReleaseRow(flow.key, flow.service, outcome, tag)
         for peer in peers - {core.fleet.own_id}:
             core.add_row(ReleaseBatch, peer, row)
@@ -339,6 +344,7 @@
             core.latencies.decision.observe(now - flow.arrived_at)
         core.counters.record_traffic(Traffic.FLOWS_BOUND)
         core.actions.append(SendSegment(server, flow.opening_segment, flow.tag))
+        self.offer_notifier.notify_offer(flow)
         core.timers.schedule(
             now + OFFER_TIMEOUT_S, lambda at: self._handle_offer_timeout(flow, now, at)
         )
--- a/berylstair/flowtrack.py
+++ b/berylstair/flowtrack.py
@@ -106,6 +106,14 @@
         own_id = self.server.id
         return [server for server in self.offered if server.id != own_id]
 
+    @property
+    def may_be_offered_elsewhere(self) -> bool:
+        """Whether another instance may have offered the flow as well, as far as is known here."""
+        is_offered_here = self.server is not None and any(
+            server.id == self.server.id for server in self.offered
+        )
+        return self.is_known_elsewhere or not is_offered_here
+
     def is_answered_by(self, segment: Segment) -> bool:
         """Returns whether a segment shows that the caller has received part of the response."""
         acknowledged_bytes = (segment.acknowledged - self.initial_acknowledged) % SEQUENCE_SPACE
@@ -154,7 +162,9 @@
     """Returns how long a flow is kept.
 
     A flow that was offered to several servers is kept longer: its caller has the tag of
-    one that does not hold it if all copies that were to correct the tag were lost.
+    one that does not hold it if all copies that were to correct the tag were lost. So is
+    one that was offered and may be open elsewhere, until its server is known.
     """
-    is_tag_enough = flow.phase is FlowPhase.OVER and len(flow.offered) <= 1
+    offers_in_order = 1 if flow.is_server_confirmed else 0
+    is_tag_enough = flow.phase is FlowPhase.OVER and len(flow.offered) <= offers_in_order
     return ENDED_FLOW_RETENTION_S if is_tag_enough else idle_s
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -13,7 +13,14 @@
 from berylstair.durations import Durations
 from berylstair.ids import BackendId, FlowKey, InstanceId
 
-__all__ = ['MAX_LEASE_S', 'Lease', 'LeaseTable', 'Outcome', 'ServerState']
+__all__ = [
+    'MAX_LEASE_S',
+    'RELEASED_RETENTION_S',
+    'Lease',
+    'LeaseTable',
+    'Outcome',
+    'ServerState',
+]
 
 # Mean work time assumed until enough flows have ended: half the latency target of a
 # usual short request.
@@ -191,6 +198,11 @@
         released = self._released_by_flow.get(flow)
         return released.tag if released else 0
 
+    def holders_of_released(self, flow: FlowKey) -> set[InstanceId]:
+        """Returns the instances that may have offered a released flow to a server."""
+        released = self._released_by_flow.get(flow)
+        return set(released.holders) if released else set()
+
     def release(self, flow: FlowKey, outcome: Outcome, now: float, tag: int = 0) -> Lease | None:
         """Ends a lease and updates the server's health from its outcome.
 
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -15,6 +15,7 @@
 from berylstair.steering_message import (
     LeaseReport,
     LeaseRow,
+    OfferNoticeBatch,
     PlacementReplyBatch,
     PlacementReplyRow,
     PlacementRequestBatch,
@@ -98,6 +99,7 @@
             PlacementReplyBatch: self._handle_placement_replies,
             ReleaseBatch: self._handle_releases,
             LeaseReport: self._handle_lease_report,
+            OfferNoticeBatch: self._flow_opener.offer_notifier.handle_notices,
         }
 
     def _handle_placement_requests(
@@ -176,17 +178,34 @@
     def _handle_releases(self, peer: InstanceId, batch: ReleaseBatch, now: float) -> None:
         core = self._core
         for row in batch.rows:
-            service = ServiceName(row.service)
-            key = FlowKey(row.flow)
-            flow = core.flows.get(key)
+            flow = core.flows.get(FlowKey(row.flow))
             if flow is not None:
+                if flow.is_server_confirmed and not row.tag:
+                    # Another holder has given up a flow that is open through this instance.
+                    answer = row._replace(outcome=Outcome.ENDED, tag=flow.tag)
+                    core.add_row(ReleaseBatch, peer, answer)
                 self._flow_opener.handle_release(flow, row.tag, now)
-            lease = core.assigner.release(service, key, row.outcome, now, row.tag)
-            if lease is not None:
-                for holder in lease.all_holders() - {peer, core.fleet.own_id}:
-                    core.add_row(ReleaseBatch, holder, row)
+            for holder in self._release(row, now) - {peer, core.fleet.own_id}:
+                core.add_row(ReleaseBatch, holder, row)
         self.place_waiting_flows(now)
 
+    def _release(self, row: ReleaseRow, now: float) -> set[InstanceId]:
+        """Releases the lease of a flow and returns the holders that are to be told.
+
+        They are told of the end of the lease, and once of the server of the flow.
+        """
+        service = ServiceName(row.service)
+        flow = FlowKey(row.flow)
+        table = self._core.assigner.lease_table(service)
+        is_server_news = bool(row.tag) and not table.tag_of_released(flow)
+        lease = self._core.assigner.release(service, flow, row.outcome, now, row.tag)
+        holders = lease.all_holders() if lease else set()
+        if is_server_news:
+            holders |= table.holders_of_released(flow)
+        if row.tag:
+            holders |= self._flow_opener.offer_notifier.take_holders(flow)
+        return holders
+
     def _handle_lease_report(self, peer: InstanceId, report: LeaseReport, now: float) -> None:
         leases = [
             self._make_lease(
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -346,6 +346,8 @@
         for line in core.assigner.describe(now):
             core.log(LogEvent.LOAD_COUNTED, line)
         self._placement.send_lease_reports(now)
+        self._flow_opener.offer_notifier.prune_expired(now)
+        self._flow_opener.offer_notifier.repeat_notices(now)
 
     def _check_directory_age(self, now: float) -> None:
         """Logs when the directory is older than changes may take, and when it no longer is."""
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -24,6 +24,8 @@
     'LeaseReport',
     'LeaseRow',
     'MemberRow',
+    'OfferNoticeBatch',
+    'OfferNoticeRow',
     'PeerLost',
     'PlacementReplyBatch',
     'PlacementReplyRow',
@@ -90,6 +92,13 @@
     tag: int = 0
 
 
+class OfferNoticeRow(NamedTuple):
+    """A flow that the sender has offered without the first-ranked instance's decision."""
+
+    flow: bytes
+    service: str
+
+
 class LeaseRow(NamedTuple):
     """A flow that the sender holds open on a server."""
 
@@ -188,6 +197,12 @@
     rows: tuple[ReleaseRow, ...]
 
 
+class OfferNoticeBatch(NamedTuple):
+    """Asks to be told at which servers flows that the sender has offered are open."""
+
+    rows: tuple[OfferNoticeRow, ...]
+
+
 class LeaseReport(NamedTuple):
     """All flows of one service that the sender holds open."""
 
@@ -252,12 +267,14 @@
     DirectoryReply,
     DirectoryUpdate,
     PeerLost,
+    OfferNoticeBatch,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
     (PlacementRequestBatch, 'rows'): PlacementRequestRow,
     (PlacementReplyBatch, 'rows'): PlacementReplyRow,
     (ReleaseBatch, 'rows'): ReleaseRow,
+    (OfferNoticeBatch, 'rows'): OfferNoticeRow,
     (LeaseReport, 'rows'): LeaseRow,
     (DirectoryReply, 'rows'): DirectoryChangeRow,
     (DirectoryUpdate, 'rows'): DirectoryChangeRow,
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -571,6 +571,15 @@
         'no_answer_time',
         'tests/test_peer_numbers.py',
     ),
+    MutationCase(
+        'open flows stay at their server',
+        'holders of flows that they placed themselves are told of their servers',
+        'offer_notice',
+        'for peer in set(self.first_ranked(flow.service)) - {core.fleet.own_id}:',
+        'for peer in set():',
+        'placed_itself',
+        'tests/test_offer_notice.py',
+    ),
 )
 
 
