Let kinds of request share the slots at peak load, and use the routes' deadlines

Cause: the expected wait counted all waiting flows, the mean work time of all kinds stood for each of them, and the routes' deadlines were not used. A burst of one kind made the others of its priority late; a flow whose answer would be of no use got a slot.

Change: beyond the slots the kinds of one priority share them equally by work (`service_order`); the slot in four for long waits goes to each kind in turn; a new flow is counted behind better priorities, its own kind and as much work of each other kind; placement requests carry the deadline, and a flow that cannot be answered before it is refused at once. PlacementRequest moves to a module of its own. While all flows can be in time, their order is as before. The waits are ordered only if a server has room.

Prior tests: `test_should_refuse` takes the work ahead in seconds in place of a number of flows, with the same loads, and has deadlines besides; "no slots" is decided in the assigner and no longer a case of it. `find_older_than` is gone; the test of a repeated request asks `find_hopeless` instead. The mutation case of "newest first" follows the code that moved.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -11,12 +11,13 @@
 from enum import IntEnum, unique
 from typing import NamedTuple
 
-from berylstair.admission import MAX_WAIT_S, should_refuse
+from berylstair.admission import expected_wait_s, should_refuse
 from berylstair.directory import Directory
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.lease_table import Lease, LeaseTable, Outcome
 from berylstair.record import BackendServer
-from berylstair.server_selection import ServerCandidate, choose_server
+from berylstair.server_selection import ServerCandidate, choose_server, has_capacity
+from berylstair.service_order import work_ahead_s
 from berylstair.tag import tag_of
 from berylstair.wait_queue import PlacementRequest, WaitQueue
 
@@ -126,9 +127,12 @@
             placement = self._try_place(state, candidates, request, now)
             if placement is not None:
                 return placement
-        slots = state.slots
-        work_s = state.lease_table.mean_work_s(request.constraints.route_name)
-        if should_refuse(len(state.wait_queue), slots, work_s, now - request.arrived_at):
+        work_s_of = state.lease_table.mean_work_s
+        waiting = state.wait_queue.request_by_flow.values()
+        wait_s = expected_wait_s(work_ahead_s(request, waiting, work_s_of), state.slots)
+        waited_s = now - request.arrived_at
+        is_hopeless = should_refuse(wait_s, work_s_of(request.kind), waited_s, request.deadline_s)
+        if is_hopeless or not state.slots:
             return PlacementResult(request, PlacementDecision.REFUSED)
         state.wait_queue.add(request, now)
         return PlacementResult(request, PlacementDecision.WAITING)
@@ -202,18 +206,17 @@
     ) -> Iterable[PlacementResult]:
         state.lease_table.prune_expired(now)
         candidates = self._candidates(service, now)
-        while True:
-            request = state.wait_queue.select_next(
-                state.lease_table.mean_work_s(), state.slots, now
-            )
+        work_s_of = state.lease_table.mean_work_s
+        while has_capacity(candidates):
+            request = state.wait_queue.select_next(work_s_of, state.slots, now)
             placement = self._try_place(state, candidates, request, now) if request else None
             if placement is None or request is None:
                 break
-            state.wait_queue.remove_placed(request)
+            state.wait_queue.remove_placed(request, work_s_of(request.kind))
             yield placement
-        for expired in state.wait_queue.find_older_than(MAX_WAIT_S, now):
-            state.wait_queue.remove(expired.flow)
-            yield PlacementResult(expired, PlacementDecision.REFUSED)
+        for hopeless in state.wait_queue.find_hopeless(work_s_of, now):
+            state.wait_queue.remove(hopeless.flow)
+            yield PlacementResult(hopeless, PlacementDecision.REFUSED)
 
     def _try_place(
         self,
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -16,6 +16,7 @@
 from berylstair.ids import BackendId, InstanceId, ServiceName
 from berylstair.lease_table import Outcome
 from berylstair.offer_notice import OfferNotifier
+from berylstair.placement_request import PlacementRequest, deadline_from
 from berylstair.record import BackendServer
 from berylstair.rendezvous import weighted_rank
 from berylstair.segment import SEQUENCE_SPACE, Segment
@@ -32,7 +33,6 @@
 )
 from berylstair.tag import pack_tags, tag_of
 from berylstair.tag_correction import TagCorrector
-from berylstair.wait_queue import PlacementRequest
 
 __all__ = ['FlowOpener', 'superseded_after_s']
 
@@ -270,6 +270,7 @@
             round((now - request.last_opening_at) * MS_PER_S),
             round(request.latency_target_s * MS_PER_S),
             request.priority,
+            round(flow.route.timeout_s * MS_PER_S) if flow.route else 0,
             pack_tags(request.constraints.excluded),
         )
         core.add_row(PlacementRequestBatch, dispatcher, row)
@@ -288,6 +289,7 @@
             flow.last_segment_at,
             route.latency_target_s if route else 0,
             route.priority if route else 0,
+            deadline_from(route.timeout_s if route else 0),
         )
 
     def _handle_placement_timeout(self, flow: TrackedFlow, requested_at: float, now: float) -> None:
--- a/berylstair/placement_protocol.py
+++ b/berylstair/placement_protocol.py
@@ -9,6 +9,7 @@
 from berylstair.flowtrack import FlowPhase
 from berylstair.ids import BackendId, FlowKey, InstanceId, ServiceName
 from berylstair.lease_table import MAX_LEASE_S, Lease, Outcome
+from berylstair.placement_request import PlacementRequest, deadline_from
 from berylstair.record import BackendServer
 from berylstair.server_selection import PlacementConstraints
 from berylstair.steering_core import SteeringCore
@@ -24,7 +25,6 @@
     ReleaseRow,
 )
 from berylstair.tag import tag_of, unpack_tags
-from berylstair.wait_queue import PlacementRequest
 
 __all__ = ['PlacementProtocol']
 
@@ -130,6 +130,7 @@
             now - max(row.since_last_opening_ms, 0) / MS_PER_S,
             row.latency_target_ms / MS_PER_S,
             row.priority,
+            deadline_from(row.deadline_ms / MS_PER_S),
         )
 
     def _find_tagged_servers(
--- a/berylstair/server_selection.py
+++ b/berylstair/server_selection.py
@@ -16,6 +16,7 @@
     'PlacementConstraints',
     'ServerCandidate',
     'choose_server',
+    'has_capacity',
     'has_queue_room',
     'lease_limit',
 ]
@@ -71,6 +72,13 @@
     return server.slots + max(round(server.slots * OVERCOMMIT_RATIO), 1)
 
 
+def has_capacity(candidates: Sequence[ServerCandidate]) -> bool:
+    """Returns whether any server is below its lease limit."""
+    return any(
+        candidate.state.lease_count < lease_limit(candidate.server) for candidate in candidates
+    )
+
+
 def has_queue_room(candidate: ServerCandidate) -> bool:
     """Returns whether a server's own queue can take one more flow."""
     return candidate.state.lease_count < candidate.server.slots * (1 + MAX_QUEUED_PER_SLOT)
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -56,6 +56,8 @@
         waited_ms: Time since the caller's first opening segment.
         since_last_opening_ms: Time since its latest opening segment.
         priority: 0 is the highest.
+        deadline_ms: Time after the first opening segment at which an answer is of no
+            use; 0 if there is none.
         excluded: Tags of servers that did not answer, 4 bytes each.
     """
 
@@ -66,6 +68,7 @@
     since_last_opening_ms: int
     latency_target_ms: int
     priority: int
+    deadline_ms: int
     excluded: bytes
 
 
--- a/berylstair/wait_queue.py
+++ b/berylstair/wait_queue.py
@@ -1,21 +1,21 @@
-"""Flows that wait for a slot, and the order in which they get one.
-
-Load pattern: demand above the capacity of all slots for some seconds. First in,
-first out would make every answer late, and so would earliest deadline first: each
-flow would get its slot when it is about to be late. Here, flows that can still
-meet their latency target go first, by priority. While not all of these can meet
-it, the newest goes first, so that only the others are late. Late flows follow,
-the one with the latest opening segment first. One slot in a few goes to the flow
-that has waited longest, so that its caller does not give up during an overload
-that is soon over.
+"""Flows that wait for a slot, who of them gets the next one, and who cannot be served.
+
+Load pattern: demand above the capacity of all slots for some seconds, of one kind of
+request or of all. First in, first out would make every answer late, and so would
+earliest deadline first: each flow would get its slot when it is about to be late. The
+order is that of ``service_order``, except that one slot in a few goes to a flow that
+has waited long, of each kind in turn, so that every kind makes progress and a caller
+does not give up during an overload that is soon over.
 """
 
+import math
+from collections import deque
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
-from berylstair.admission import expected_wait_s
-from berylstair.ids import FlowKey, InstanceId, ServiceName
-from berylstair.server_selection import PlacementConstraints
+from berylstair.admission import should_refuse
+from berylstair.ids import FlowKey
+from berylstair.placement_request import PlacementRequest
+from berylstair.service_order import WorkTimes, order_requests
 
 __all__ = ['PlacementRequest', 'WaitQueue']
 
@@ -26,27 +26,6 @@
 OLDEST_FIRST_EVERY_N_SLOTS = 4
 
 
-class PlacementRequest(NamedTuple):
-    """A new flow that needs a server.
-
-    Attributes:
-        holder: Instance that has the flow's opening segment.
-        arrived_at: When the caller's first opening segment arrived.
-        last_opening_at: When its latest opening segment arrived.
-        latency_target_s: Latency objective.
-        priority: 0 is the highest.
-    """
-
-    flow: FlowKey
-    service: ServiceName
-    holder: InstanceId
-    constraints: PlacementConstraints
-    arrived_at: float
-    last_opening_at: float
-    latency_target_s: float
-    priority: int
-
-
 @dataclass(slots=True)
 class WaitQueue:
     """Waiting flows of one service."""
@@ -54,6 +33,10 @@
     request_by_flow: dict[FlowKey, PlacementRequest] = field(default_factory=dict)
     _waiting_since_by_flow: dict[FlowKey, float] = field(default_factory=dict)
     _placed_count: int = 0
+    _served_s_by_kind: dict[str, float] = field(default_factory=dict)
+    _last_turn_by_kind: dict[str, int] = field(default_factory=dict)
+    _ordered: deque[PlacementRequest] = field(default_factory=deque)
+    _ordered_at: float = -math.inf
 
     def __len__(self) -> int:
         """Returns the number of waiting flows."""
@@ -63,64 +46,87 @@
         """Adds a flow, or updates its request after another opening segment."""
         self.request_by_flow[request.flow] = request
         self._waiting_since_by_flow.setdefault(request.flow, now)
+        self._ordered_at = -math.inf
 
     def remove(self, flow: FlowKey) -> PlacementRequest | None:
         """Removes a flow and returns its request, None if it does not wait."""
         self._waiting_since_by_flow.pop(flow, None)
-        return self.request_by_flow.pop(flow, None)
+        request = self.request_by_flow.pop(flow, None)
+        if not self.request_by_flow:
+            # The shares count during an overload only.
+            self._served_s_by_kind.clear()
+            self._last_turn_by_kind.clear()
+        return request
 
-    def remove_placed(self, request: PlacementRequest) -> None:
-        """Removes a flow that was placed, and counts the placement."""
+    def remove_placed(self, request: PlacementRequest, work_s: float = 0) -> None:
+        """Removes a flow that was placed, and counts the placement.
+
+        Args:
+            request: The flow's request.
+            work_s: Expected work time of the flow in seconds.
+        """
         self._placed_count += 1
+        served_s = self._served_s_by_kind
+        served_s[request.kind] = served_s.get(request.kind, min(served_s.values(), default=0))
+        served_s[request.kind] += work_s
         self.remove(request.flow)
 
-    def select_next(self, work_s: float, slots: int, now: float) -> PlacementRequest | None:
+    def select_next(self, work_s_of: WorkTimes, slots: int, now: float) -> PlacementRequest | None:
         """Returns the flow to be placed next, None if none waits.
 
         Args:
-            work_s: Expected work time of a flow in seconds.
+            work_s_of: Expected work time in seconds of each kind.
             slots: Slots of all servers that take new flows.
             now: Current time in seconds.
         """
         if not self.request_by_flow:
             return None
-        # Dicts keep the order of insertion: the first flow has waited here longest.
-        oldest_flow, waiting_since = next(iter(self._waiting_since_by_flow.items()))
-        if (
-            now - waiting_since > OLDEST_FIRST_AFTER_S
-            and (self._placed_count + 1) % OLDEST_FIRST_EVERY_N_SLOTS == 0
-        ):
-            return self.request_by_flow[oldest_flow]
-        in_time = [
-            request
-            for request in self.request_by_flow.values()
-            if now + work_s <= request.arrived_at + request.latency_target_s
-        ]
-        if not in_time:
-            return max(self.request_by_flow.values(), key=lambda request: request.last_opening_at)
-        top_priority = min(request.priority for request in in_time)
-        candidates = [request for request in in_time if request.priority == top_priority]
-        if _is_overloaded(candidates, work_s, slots, now):
-            return max(candidates, key=lambda request: request.arrived_at)
-        return min(candidates, key=lambda request: request.arrived_at)
-
-    def find_older_than(self, age_s: float, now: float) -> list[PlacementRequest]:
-        """Returns the flows whose callers began to wait more than ``age_s`` ago."""
-        arrived_before = now - age_s
+        if (self._placed_count + 1) % OLDEST_FIRST_EVERY_N_SLOTS == 0:
+            longest_waiting = self._select_longest_waiting(now)
+            if longest_waiting is not None:
+                return longest_waiting
+        if self._ordered_at != now:
+            self._ordered = deque(self._order(work_s_of, slots, now))
+            self._ordered_at = now
+        while self._ordered[0].flow not in self.request_by_flow:
+            self._ordered.popleft()
+        return self._ordered[0]
+
+    def find_hopeless(self, work_s_of: WorkTimes, now: float) -> list[PlacementRequest]:
+        """Returns the flows that cannot be offered, or not be answered, in time any more.
+
+        Args:
+            work_s_of: Expected work time in seconds of each kind.
+            now: Current time in seconds.
+        """
         return [
             request
             for request in self.request_by_flow.values()
-            if request.arrived_at < arrived_before
+            if should_refuse(
+                0, work_s_of(request.kind), now - request.arrived_at, request.deadline_s
+            )
         ]
 
-
-def _is_overloaded(
-    candidates: list[PlacementRequest], work_s: float, slots: int, now: float
-) -> bool:
-    """Returns whether some of the flows will be late in any order.
-
-    Served in order of arrival, the newest would wait for all others.
-    """
-    wait_s = expected_wait_s(len(candidates), slots, work_s)
-    newest = max(candidates, key=lambda request: request.arrived_at)
-    return now + wait_s + work_s > newest.arrived_at + newest.latency_target_s
+    def _order(self, work_s_of: WorkTimes, slots: int, now: float) -> list[PlacementRequest]:
+        least_s = min(self._served_s_by_kind.values(), default=0)
+        served_s_by_kind = {
+            kind: served_s - least_s for kind, served_s in self._served_s_by_kind.items()
+        }
+        return order_requests(
+            self.request_by_flow.values(), work_s_of, slots, served_s_by_kind, now
+        )
+
+    def _select_longest_waiting(self, now: float) -> PlacementRequest | None:
+        """Returns the flow that has waited longest of the kind whose turn it is, if any."""
+        oldest_by_kind: dict[str, PlacementRequest] = {}
+        # Dicts keep the order of insertion: the first flow has waited here longest.
+        for flow, waiting_since in self._waiting_since_by_flow.items():
+            if now - waiting_since <= OLDEST_FIRST_AFTER_S:
+                break
+            request = self.request_by_flow[flow]
+            oldest_by_kind.setdefault(request.kind, request)
+        if not oldest_by_kind:
+            return None
+        kind = min(oldest_by_kind, key=lambda name: self._last_turn_by_kind.get(name, -1))
+        self._last_turn_by_kind[kind] = self._placed_count
+        return oldest_by_kind[kind]
--- a/tests/test_steering_message.py
+++ b/tests/test_steering_message.py
@@ -54,7 +54,9 @@
         (MemberRow('entry-3', 'z', '10.0.0.3'),),
     ),
     PeerLost('entry-3', 7),
-    PlacementRequestBatch((PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, b'abcd'),)),
+    PlacementRequestBatch(
+        (PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, 4000, b'abcd'),)
+    ),
     PlacementReplyBatch((PlacementReplyRow(FLOW, SERVICE, 1, BACKEND, 0),)),
     ReleaseBatch((ReleaseRow(FLOW, SERVICE, 1),)),
     LeaseReport(SERVICE, (LeaseRow(FLOW, BACKEND, 'status', 20),)),
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -1,11 +1,14 @@
 """Tests of the order in which waiting flows get a slot, and of the refusal of flows."""
 
+import math
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from berylstair.admission import should_refuse
+from berylstair.admission import expected_wait_s, should_refuse
 from berylstair.ids import FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.server_selection import PlacementConstraints
+from berylstair.service_order import work_ahead_s
 from berylstair.wait_queue import PlacementRequest, WaitQueue
 
 
@@ -25,6 +28,11 @@
     )
 
 
+def usual_work_s(_kind: str) -> float:
+    """Returns the work time of any kind."""
+    return 0.05
+
+
 class WaitQueueTest(TestCase):
     """Flows that can be in time go first, by priority, then late ones; newest first in overload."""
 
@@ -42,7 +50,7 @@
             queue = WaitQueue()
             for arguments in waiting:
                 queue.add(placement_request(*arguments), arguments[1])
-            first = queue.select_next(0.05, 21, 1.0)
+            first = queue.select_next(usual_work_s, 21, 1.0)
             self.assertThat(first and first.flow, Equals(expected))
 
     def test_the_newest_goes_first_while_not_all_can_be_in_time(self) -> None:
@@ -51,7 +59,7 @@
             queue = WaitQueue()
             for number in range(count):
                 queue.add(placement_request(str(number), 0.9 + number / 1000), 0.9 + number / 1000)
-            first = queue.select_next(0.05, slots, 1.0)
+            first = queue.select_next(usual_work_s, slots, 1.0)
             self.assertThat(first and first.flow, Equals(expected))
 
     def test_one_slot_in_four_goes_to_the_longest_waiting_flow(self) -> None:
@@ -66,7 +74,7 @@
             queue.add(placement_request(name, arrived_at), arrived_at)
         order = []
         while queue:
-            first = queue.select_next(0.05, 21, 1.0)
+            first = queue.select_next(usual_work_s, 21, 1.0)
             order.append(first.flow)
             queue.remove_placed(first)
         self.assertThat(order, Equals([b'a', b'b', b'c', b'old', b'late']))
@@ -77,7 +85,7 @@
             queue.add(placement_request(name, arrived_at), 0.95)
         order = []
         while queue:
-            first = queue.select_next(0.05, 21, 1.0)
+            first = queue.select_next(usual_work_s, 21, 1.0)
             order.append(first.flow)
             queue.remove_placed(first)
         self.assertThat(order, Equals([b'a', b'b', b'c', b'old']))
@@ -87,20 +95,37 @@
         queue.add(placement_request('a', 0.2), 0.2)
         queue.add(placement_request('a', 0.2, last_opening_at=0.4), 0.4)
         self.assertThat(len(queue), Equals(1))
-        self.assertThat([each.flow for each in queue.find_older_than(0.5, 1.0)], Equals([b'a']))
+        # The first opening segment counts: callers give up 1.4 s after it.
+        hopeless = queue.find_hopeless(usual_work_s, 1.4)
+        self.assertThat([each.flow for each in hopeless], Equals([b'a']))
 
 
 class RefusingTest(TestCase):
-    """Only flows that cannot be offered to a server in time are refused."""
+    """Only flows that cannot be offered or answered in time are refused."""
 
     def test_should_refuse(self) -> None:
-        # Waiting flows, slots, work time and time waited so far in seconds; refused or not.
+        # Work ahead in seconds, slots, work time, time waited so far and deadline; refused or not.
         cases = (
-            (0, 21, 0.05, 0.0, False),
-            (100, 21, 0.05, 0.0, False),
-            (500, 21, 0.05, 0.0, True),
-            (300, 21, 0.05, 0.6, True),
-            (0, 0, 0.05, 0.0, True),
+            (0.0, 21, 0.05, 0.0, math.inf, False),
+            (5.0, 21, 0.05, 0.0, math.inf, False),
+            (25.0, 21, 0.05, 0.0, math.inf, True),
+            (15.0, 21, 0.05, 0.6, math.inf, True),
+            (15.0, 21, 0.05, 0.0, 0.77, False),
+            (15.0, 21, 0.05, 0.0, 0.76, True),
+            (0.0, 21, 0.05, 0.0, 0.04, True),
         )
-        for waiting_count, slots, work_s, waited_s, expected in cases:
-            self.assertThat(should_refuse(waiting_count, slots, work_s, waited_s), Equals(expected))
+        for ahead_s, slots, work_s, waited_s, deadline_s, expected in cases:
+            wait_s = expected_wait_s(ahead_s, slots)
+            is_refused = should_refuse(wait_s, work_s, waited_s, deadline_s)
+            self.assertThat(is_refused, Equals(expected))
+
+    def test_only_flows_that_come_first_count_as_ahead(self) -> None:
+        # 20 flows of 50 ms wait. Priority and kind of a new one, and the work ahead of it:
+        # all of its own kind, of another kind as much as of its own, none of a lower priority.
+        waiting = [placement_request(str(number), 0.9) for number in range(20)]
+        cases = ((2, 'status', 1.0), (2, 'report', 0.05), (1, 'status', 0.0), (3, 'report', 1.0))
+        for priority, kind, expected_s in cases:
+            constraints = PlacementConstraints(ZoneId('z'), kind)
+            request = placement_request('new', 1.0, priority)._replace(constraints=constraints)
+            ahead_s = work_ahead_s(request, waiting, usual_work_s)
+            self.assertThat(round(ahead_s, 6), Equals(expected_s))
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -277,8 +277,8 @@
     MutationCase(
         'platform: crest',
         'newest first while crowded',
-        'wait_queue',
-        'if _is_overloaded(candidates, work_s, slots, now):',
+        'service_order',
+        'if _is_any_late(of_kind, work_s_of, share, now):',
         'if False:',
         'newest_goes_first or worth_and_service',
         'tests/test_wait_queue.py',
@@ -580,6 +580,15 @@
         'placed_itself',
         'tests/test_offer_notice.py',
     ),
+    MutationCase(
+        'platform: peak load',
+        'kinds share the slots while not all can be in time',
+        'service_order',
+        'start_s = served_s_by_kind.get(kind, 0)',
+        'start_s, work_s = 0.0, 0.0',
+        'burst_of_one_kind',
+        'tests/test_peak_load.py',
+    ),
 )
 
 
