--- a/berylstair/admission.py
+++ b/berylstair/admission.py
@@ -17,12 +17,12 @@
 MAX_WAIT_S = CALLER_GIVES_UP_S - OFFER_ALLOWANCE_S
 
 
-def expected_wait_s(work_ahead_s: float, slots: int) -> float:
+def expected_wait_s(work_ahead_s: float, slots: float) -> float:
     """Returns how long a flow is expected to wait for a slot, in seconds.
 
     Args:
         work_ahead_s: Work in seconds of the flows that get a slot before it.
-        slots: Slots of all servers that take new flows.
+        slots: Slots, or share of the slots, that these flows get.
     """
     return work_ahead_s / max(slots, 1)
 
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -6,6 +6,8 @@
 from testtools.matchers import Equals
 
 from berylstair.admission import expected_wait_s, should_refuse
+from berylstair.assigner import Assigner, PlacementDecision
+from berylstair.directory import Directory
 from berylstair.ids import FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.server_selection import PlacementConstraints
 from berylstair.service_order import work_ahead_s
@@ -119,6 +121,11 @@
             is_refused = should_refuse(wait_s, work_s, waited_s, deadline_s)
             self.assertThat(is_refused, Equals(expected))
 
+    def test_a_flow_is_refused_where_no_server_has_slots(self) -> None:
+        assigner = Assigner(Directory(), lambda _zone: True)
+        decided = assigner.place(placement_request('a', 1.0), 1.0)
+        self.assertThat(decided.decision, Equals(PlacementDecision.REFUSED))
+
     def test_only_flows_that_come_first_count_as_ahead(self) -> None:
         # 20 flows of 50 ms wait. Priority and kind of a new one, and the work ahead of it:
         # all of its own kind, of another kind as much as of its own, none of a lower priority.
