--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -47,6 +47,7 @@
     SOURCE_RESTORES = 'source_restores'
     CHANGES_IGNORED = 'changes_ignored'
     REQUESTS_STALLED = 'requests_stalled'
+    OFFER_NOTICES = 'offer_notices'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
     COLD_OFFERS = 'cold_offers'
--- a/berylstair/flow_opener.py
+++ b/berylstair/flow_opener.py
@@ -16,6 +16,8 @@
 from berylstair.flowtrack import FlowPhase, TrackedFlow
 from berylstair.ids import BackendId, InstanceId, ServiceName
 from berylstair.lease_table import Outcome
+from berylstair.offer_notice import OfferNotifier
+from berylstair.placement_request import PlacementRequest, deadline_from
 from berylstair.record import BackendServer
 from berylstair.rendezvous import weighted_rank
 from berylstair.segment import SEQUENCE_SPACE, Segment
@@ -32,7 +34,6 @@
 )
 from berylstair.tag import pack_tags, tag_of
 from berylstair.tag_correction import TagCorrector
-from berylstair.wait_queue import PlacementRequest
 
 __all__ = ['FlowOpener', 'superseded_after_s']
 
@@ -66,6 +67,7 @@
         self._core = core
         self._tag_corrector = TagCorrector(core)
         self._cold_offers = ColdOffers(core)
+        self.offer_notifier = OfferNotifier(core)
         self._retransmission_handler_by_phase: dict[
             FlowPhase, Callable[[TrackedFlow, Segment, float], None]
         ] = {
@@ -148,10 +150,13 @@
         """
         core = self._core
         tag = flow.tag if flow.is_server_confirmed else 0
-        lease = core.assigner.release(flow.service, flow.key, outcome, now, tag)
+        core.assigner.release(flow.service, flow.key, outcome, now, tag)
         peers = {core.fleet.find_dispatcher(flow.service, now), flow.dispatcher}
-        if lease is not None and tag:
-            peers |= lease.all_holders()
+        if tag:
+            peers |= core.assigner.lease_table(flow.service).holders_of_released(flow.key)
+            peers |= self.offer_notifier.take_holders(flow.key)
+            if flow.may_be_offered_elsewhere:
+                peers.update(self.offer_notifier.first_ranked(flow.service))
         row = ReleaseRow(flow.key, flow.service, outcome, tag)
         for peer in peers - {core.fleet.own_id}:
             core.add_row(ReleaseBatch, peer, row)
@@ -289,6 +294,7 @@
             round((now - request.last_opening_at) * MS_PER_S),
             round(request.latency_target_s * MS_PER_S),
             request.priority,
+            round(flow.route.timeout_s * MS_PER_S) if flow.route else 0,
             pack_tags(request.constraints.excluded),
         )
         core.add_row(PlacementRequestBatch, dispatcher, row)
@@ -307,6 +313,7 @@
             flow.last_segment_at,
             route.latency_target_s if route else 0,
             route.priority if route else 0,
+            deadline_from(route.timeout_s if route else 0),
         )
 
     def _handle_placement_timeout(self, flow: TrackedFlow, requested_at: float, now: float) -> None:
@@ -363,6 +370,7 @@
             core.latencies.decision.observe(now - flow.arrived_at)
         core.counters.record_traffic(Traffic.FLOWS_BOUND)
         core.actions.append(SendSegment(server, flow.opening_segment, flow.tag))
+        self.offer_notifier.notify_offer(flow)
         core.timers.schedule(
             now + OFFER_TIMEOUT_S, lambda at: self._handle_offer_timeout(flow, now, at)
         )
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -15,7 +15,14 @@
 from berylstair.request_progress import RequestProgress, StalledRequest, min_stall_s
 from berylstair.tag import tag_of
 
-__all__ = ['MAX_LEASE_S', 'Lease', 'LeaseTable', 'Outcome', 'ServerState']
+__all__ = [
+    'MAX_LEASE_S',
+    'RELEASED_RETENTION_S',
+    'Lease',
+    'LeaseTable',
+    'Outcome',
+    'ServerState',
+]
 
 # Mean work time assumed until enough flows have ended: half the latency target of a
 # usual short request.
@@ -208,6 +215,11 @@
         released = self._released_by_flow.get(flow)
         return released is not None and arrived_at < released.released_at
 
+    def holders_of_released(self, flow: FlowKey) -> set[InstanceId]:
+        """Returns the instances that may have offered a released flow to a server."""
+        released = self._released_by_flow.get(flow)
+        return set(released.holders) if released else set()
+
     def release(self, flow: FlowKey, outcome: Outcome, now: float, tag: int = 0) -> Lease | None:
         """Ends a lease and updates the server's health from its outcome.
 
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -27,6 +27,8 @@
     'LeaseReport',
     'LeaseRow',
     'MemberRow',
+    'OfferNoticeBatch',
+    'OfferNoticeRow',
     'PeerLost',
     'PlacementReplyBatch',
     'PlacementReplyRow',
@@ -59,6 +61,8 @@
         waited_ms: Time since the caller's first opening segment.
         since_last_opening_ms: Time since its latest opening segment.
         priority: 0 is the highest.
+        deadline_ms: Time after the first opening segment at which an answer is of no
+            use; 0 if there is none.
         excluded: Tags of servers that did not answer, 4 bytes each.
     """
 
@@ -69,6 +73,7 @@
     since_last_opening_ms: int
     latency_target_ms: int
     priority: int
+    deadline_ms: int
     excluded: bytes
 
 
@@ -115,6 +120,13 @@
     age_ms: int
 
 
+class OfferNoticeRow(NamedTuple):
+    """A flow that the sender has offered without the first-ranked instance's decision."""
+
+    flow: bytes
+    service: str
+
+
 class LeaseRow(NamedTuple):
     """A flow that the sender holds open on a server."""
 
@@ -219,6 +231,12 @@
     rows: tuple[StalledRequestRow, ...]
 
 
+class OfferNoticeBatch(NamedTuple):
+    """Asks to be told at which servers flows that the sender has offered are open."""
+
+    rows: tuple[OfferNoticeRow, ...]
+
+
 class LeaseReport(NamedTuple):
     """All flows of one service that the sender holds open."""
 
@@ -310,12 +328,14 @@
     StalledRequestBatch,
     ColdVoteRequest,
     ColdVote,
+    OfferNoticeBatch,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
     (PlacementRequestBatch, 'rows'): PlacementRequestRow,
     (PlacementReplyBatch, 'rows'): PlacementReplyRow,
     (ReleaseBatch, 'rows'): ReleaseRow,
+    (OfferNoticeBatch, 'rows'): OfferNoticeRow,
     (LeaseReport, 'rows'): LeaseRow,
     (StalledRequestBatch, 'rows'): StalledRequestRow,
     (DirectoryReply, 'rows'): DirectoryChangeRow,
--- a/tests/test_steering_message.py
+++ b/tests/test_steering_message.py
@@ -22,6 +22,8 @@
     LeaseReport,
     LeaseRow,
     MemberRow,
+    OfferNoticeBatch,
+    OfferNoticeRow,
     PeerLost,
     PlacementReplyBatch,
     PlacementReplyRow,
@@ -56,10 +58,13 @@
     PeerLost('entry-3', 7),
     ColdVoteRequest(101_000, (SERVICE, 'other')),
     ColdVote(101_000, (SERVICE, 'other')),
-    PlacementRequestBatch((PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, b'abcd'),)),
+    PlacementRequestBatch(
+        (PlacementRequestRow(FLOW, SERVICE, 'status', 5, 5, 250, 1, 4000, b'abcd'),)
+    ),
     PlacementReplyBatch((PlacementReplyRow(FLOW, SERVICE, 1, BACKEND, 0),)),
     ReleaseBatch((ReleaseRow(FLOW, SERVICE, 1),)),
     LeaseReport(SERVICE, (LeaseRow(FLOW, BACKEND, 'status', 20),)),
+    OfferNoticeBatch((OfferNoticeRow(FLOW, SERVICE),)),
     DirectoryRequest(1, 3),
     DirectoryReply(2, 9, (DirectoryChangeRow('servers/i-0001', 2, 9, True, b'', 5, 4, False),)),
     DirectoryUpdate(1, 3, 2, 9, (DirectoryChangeRow('config', 2, 9, False, b'{}', 0, 7, True),)),
