Count with the speeds of servers when a flow is placed

Cause: a server faster than the mean got no advantage, since one that fails its requests at once is fast as well; and one that fails requests had its slots free more often and got up to twice the mean.

Change: work times of flows that had a slot at once are compared between servers once a second. A difference counts as far as chance does not explain it. A server whose shortest times are farther below its level than other servers' are fails requests: it gets no advantage, and its slots count as taken for the usual time.

Placement on servers that are alike is identical.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -113,6 +113,15 @@
             for candidate in state.candidates
         )
 
+    @property
+    def failing_count(self) -> int:
+        """Number of servers whose work times show that they fail requests at once."""
+        return sum(
+            candidate.state.speed.fails_requests
+            for state in self._state_by_service.values()
+            for candidate in state.candidates
+        )
+
     def lease_table(self, service: ServiceName) -> LeaseTable:
         """Returns the leases of a service."""
         return self._service_state(service).lease_table
@@ -198,7 +207,9 @@
         for service, state in self._state_by_service.items():
             state.lease_table.prune_expired(now)
             state.lease_table.prune_released(now)
-            for server in self._directory.accepting_servers(service, now):
+            accepting = self._directory.accepting_servers(service, now)
+            state.lease_table.compare_speeds(server.id for server in accepting)
+            for server in accepting:
                 started_at_ms = self._directory.started_at_ms(server.id)
                 previous_started_at_ms = state.started_at_ms_by_id.get(server.id, started_at_ms)
                 if started_at_ms != previous_started_at_ms:
@@ -327,6 +338,7 @@
     def _candidates(self, service: ServiceName, now: float) -> list[ServerCandidate]:
         """Returns the servers to choose from, rebuilt when they change and at an interval."""
         state = self._service_state(service)
+        state.lease_table.free_held_slots(now)
         accepting = self._directory.accepting_servers(service, now)
         if accepting is state.accepting and now - state.refreshed_at < CANDIDATES_REFRESH_S:
             return state.candidates
--- a/berylstair/lease_table.py
+++ b/berylstair/lease_table.py
@@ -4,6 +4,7 @@
 on its own, and is replaced by the holder's next report.
 """
 
+import heapq
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from berylstair.durations import Durations
 from berylstair.ids import BackendId, FlowKey, InstanceId
 from berylstair.request_progress import RequestProgress, StalledRequest, min_stall_s
+from berylstair.server_speed import ServerSpeed, compare_speeds
 from berylstair.tag import tag_of
 
 __all__ = ['MAX_LEASE_S', 'Lease', 'LeaseTable', 'Outcome', 'ServerState']
@@ -23,6 +25,8 @@
 _HALF = 0.5
 # Key for the work times of all routes together.
 ALL_ROUTES = ''
+# Key for the times of all flows that began in a server's queue; no route has this name.
+QUEUED_FLOWS = '\0queued'
 # Weight of the newest flow in the moving average of a server's slowness.
 SLOWNESS_EWMA_WEIGHT = 0.15
 # Caps a single sample: a straggler, seven times the mean, must not mark its server as slow.
@@ -112,6 +116,7 @@
     Attributes:
         slowness: Ratio of its work time to the mean, as of ``slowness_updated_at``.
         progress: Whether it answers requests.
+        speed: Its speed beside that of the other servers.
     """
 
     lease_count: int = 0
@@ -122,6 +127,7 @@
     last_leased_at: float = 0.0
     last_answered_at: float = -math.inf
     progress: RequestProgress = field(default_factory=RequestProgress)
+    speed: ServerSpeed = field(default_factory=ServerSpeed)
 
     def decayed_slowness(self, now: float) -> float:
         """Returns the ratio of the server's work time to the service's mean, decayed towards 1."""
@@ -158,6 +164,7 @@
     _backend_by_tag: dict[int, BackendId] = field(default_factory=dict)
     _durations_by_route: dict[str, Durations] = field(default_factory=dict)
     _released_by_flow: dict[FlowKey, _ReleasedFlow] = field(default_factory=dict)
+    _held_slots: list[tuple[float, BackendId]] = field(default_factory=list)
 
     def lease_count(self, backend: BackendId) -> int:
         """Returns the number of leases on a server."""
@@ -226,6 +233,7 @@
             self.record_answer(lease.backend, now)
             if not lease.is_queued:
                 self._record_work(lease, now - lease.started_at, now)
+            self._hold_slot(lease, now)
         elif outcome is Outcome.SILENT and not self.has_answered_since(lease):
             self._record_unanswered_offer(lease.backend, now)
         return lease
@@ -292,15 +300,17 @@
             if lease.backend == backend:
                 self._remove(flow)
         self._state_by_backend.pop(backend, None)
+        self._held_slots = [held for held in self._held_slots if held[1] != backend]
+        heapq.heapify(self._held_slots)
 
     def describe(self, now: float) -> str:
         """Returns the work time and the state of each server for the log.
 
-        Each server is given as id:leases:slowness:unanswered offers.
+        Each server is given as id:leases:slowness:unanswered offers:relative work time.
         """
         servers = ','.join(
             f'{backend}:{state.lease_count}:{state.decayed_slowness(now):.2f}:'
-            f'{state.unanswered_offers}'
+            f'{state.unanswered_offers}:{state.speed.expected_time(now):.2f}'
             for backend, state in self._state_by_backend.items()
         )
         oldest_started_at = min(
@@ -312,8 +322,19 @@
             f'servers={servers}'
         )
 
+    def compare_speeds(self, backends: Iterable[BackendId]) -> None:
+        """Compares the speeds of servers."""
+        compare_speeds([self.server_state(backend).speed for backend in backends])
+
+    def free_held_slots(self, now: float) -> None:
+        """Frees the slots that were held for the usual work time, which is over."""
+        while self._held_slots and self._held_slots[0][0] <= now:
+            _, backend = heapq.heappop(self._held_slots)
+            self.server_state(backend).lease_count -= 1
+
     def prune_expired(self, now: float) -> int:
         """Drops expired leases and returns their number."""
+        self.free_held_slots(now)
         expired = [flow for flow, lease in self.lease_by_flow.items() if lease.expires_at <= now]
         for flow in expired:
             self._remove(flow)
@@ -346,6 +367,8 @@
         durations.add(work_s)
         state = self.server_state(lease.backend)
         ratio = min(work_s / max(durations.mean_s, 0.001), MAX_SLOWNESS_RATIO)
+        if durations.has_enough_samples:
+            state.speed.add(work_s / max(durations.mean_s, 0.001), now)
         slowness = state.decayed_slowness(now)
         state.slowness = slowness + (ratio - slowness) * SLOWNESS_EWMA_WEIGHT
         state.slowness_updated_at = now
@@ -359,6 +382,24 @@
         if state is not None:
             state.progress.record_finish(now)
 
+    def _hold_slot(self, lease: Lease, now: float) -> None:
+        """Counts a slot of a server that fails requests as taken for the usual time.
+
+        Otherwise its slots would be free more often than those of others, and it would get
+        more flows the more it fails.
+        """
+        kind = QUEUED_FLOWS if lease.is_queued else lease.route_name
+        usual = self._route_durations(kind)
+        state = self.server_state(lease.backend)
+        if not state.speed.fails_requests:
+            if lease.is_queued:
+                usual.add(now - lease.started_at)
+            return
+        held_until = lease.started_at + usual.mean_s
+        if held_until > now:
+            heapq.heappush(self._held_slots, (held_until, lease.backend))
+            state.lease_count += 1
+
     def _route_durations(self, route_name: str) -> Durations:
         durations = self._durations_by_route.get(route_name)
         if durations is None:
--- a/berylstair/server_selection.py
+++ b/berylstair/server_selection.py
@@ -26,6 +26,12 @@
 # Cost of a server in another zone, relative to the work time: about the price of the traffic
 # between zones, and more than the random variation of the measured slowness.
 CROSS_ZONE_COST_RATIO = 0.15
+# The recent slowness of a server varies by this much around its speed; only more counts as a
+# change.
+SLOWNESS_NOISE = 0.5
+# Expected work time of a server that fails part of its requests, relative to the usual one:
+# others are preferred to it even when chance makes them look slower by a quarter.
+FAILING_SLOWNESS_RATIO = 1.3
 # Prefers the less loaded of otherwise equal servers.
 UTILIZATION_COST_RATIO = 0.02
 # Expected work time of a server that has just started, relative to the usual one.
@@ -124,15 +130,31 @@
 
 def _cost(candidate: ServerCandidate, constraints: PlacementConstraints, now: float) -> float:
     """Returns the expected time to the answer, relative to the usual work time."""
-    server, state, is_cold = candidate
+    server, state, _ = candidate
     lease_count = state.lease_count
-    slowness = state.decayed_slowness(now)
-    # A quick server gets no advantage: it may be failing its requests.
-    min_slowness = COLD_SLOWNESS_RATIO if is_cold else 1
-    slowness = max(slowness, min_slowness)
+    slowness = _expected_slowness(candidate, server.zone == constraints.zone, now)
     cost = slowness + UTILIZATION_COST_RATIO * lease_count / server.slots
     if lease_count >= server.slots:
         cost += slowness * (lease_count + 1 - server.slots) / server.slots
     if server.zone != constraints.zone:
         cost += CROSS_ZONE_COST_RATIO
     return cost
+
+
+def _expected_slowness(candidate: ServerCandidate, is_in_zone: bool, now: float) -> float:
+    """Returns the expected work time on a server, relative to the usual one.
+
+    A quick server gets no advantage unless the speeds of the servers are known to differ:
+    it may be failing its requests. In another zone it gets none either, as flows do not
+    leave their zone for speed.
+    """
+    _, state, is_cold = candidate
+    slowness = state.decayed_slowness(now)
+    expected = state.speed.expected_time(now)
+    if state.speed.fails_requests:
+        return max(slowness, expected, FAILING_SLOWNESS_RATIO)
+    if expected != 1:
+        slowness = max(expected, slowness - SLOWNESS_NOISE)
+    is_advantaged = expected < 1 and is_in_zone
+    least = COLD_SLOWNESS_RATIO if is_cold else 1
+    return slowness if is_advantaged and not is_cold else max(slowness, least)
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -67,6 +67,11 @@
                 'Servers set aside here because they open flows and answer no request.',
                 core.assigner.set_aside_count,
             ),
+            (
+                'servers_failing',
+                'Servers whose work times show here that they fail requests at once.',
+                core.assigner.failing_count,
+            ),
             ('leases', 'Leases counted by this dispatching instance.', core.assigner.lease_count),
             (
                 'peers_reachable',
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -589,6 +589,24 @@
         'at_most_a_third or half_of_the_servers',
         'tests/test_request_progress.py',
     ),
+    MutationCase(
+        'platform: unequal servers',
+        "the choice counts with the servers' speeds",
+        'server_speed',
+        'speed.relative_time = min(max(ratio, least), MAX_RELATIVE_TIME)',
+        'speed.relative_time = 1.0',
+        'answers_come_sooner',
+        'tests/test_server_speed.py',
+    ),
+    MutationCase(
+        'platform: unequal servers',
+        'slots of servers that fail requests are held',
+        'lease_table',
+        'if held_until > now:',
+        'if False:',
+        'no_more_than_the_mean',
+        'tests/test_server_speed.py',
+    ),
 )
 
 
