Keep the work times of a server in half a kilobyte

Cause: a list of 128 numbers takes some four kilobytes, a hundred megabytes for an instance that has placed flows on 25,000 servers.

Change: an array of single-precision numbers, in a ring.

--- a/berylstair/server_speed.py
+++ b/berylstair/server_speed.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections import deque
+from array import array
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from statistics import fmean, median, pvariance
@@ -19,6 +19,10 @@
 # Work times of one server that are kept. The level taken from them is exact to about 6%
 # where work times vary by half of their mean.
 _WINDOW_SAMPLES = 128
+# Shorter work times, relative to the mean of their kind, count as this.
+MIN_WORK_RATIO = 0.001
+# Half a kilobyte for each server; a list would take four.
+_SINGLE_PRECISION = 'f'
 MIN_SAMPLES = 48
 # Speeds are compared once this many servers have enough samples, and half of the service's:
 # the chance in the levels of fewer is not known.
@@ -49,6 +53,10 @@
 _MEASURE_EVERY_SAMPLES = 32
 
 
+def _make_samples() -> 'array[float]':
+    return array(_SINGLE_PRECISION)
+
+
 class _Shape(NamedTuple):
     """Logarithms of the level of some work times and of its ratio to the short ones."""
 
@@ -80,14 +88,20 @@
 
     relative_time: float = 1.0
     fails_requests: bool = False
-    _log_times: deque[float] = field(default_factory=lambda: deque(maxlen=_WINDOW_SAMPLES))
+    _log_times: 'array[float]' = field(default_factory=_make_samples)
+    _next_index: int = 0
     _sampled_at: float = -math.inf
     _samples_since_measured: int = 0
     _shapes: _Shapes | None = None
 
     def add(self, work_ratio: float, now: float) -> None:
         """Adds a work time, relative to the mean of its kind."""
-        self._log_times.append(math.log(max(work_ratio, 0.001)))
+        log_time = math.log(max(work_ratio, MIN_WORK_RATIO))
+        if len(self._log_times) < _WINDOW_SAMPLES:
+            self._log_times.append(log_time)
+        else:
+            self._log_times[self._next_index] = log_time
+            self._next_index = (self._next_index + 1) % _WINDOW_SAMPLES
         self._sampled_at = now
         self._samples_since_measured += 1
         if self._samples_since_measured >= _MEASURE_EVERY_SAMPLES:
@@ -112,7 +126,7 @@
 
     def _measure(self) -> None:
         self._samples_since_measured = 0
-        samples = tuple(self._log_times)
+        samples = self._log_times
         if len(samples) >= MIN_SAMPLES:
             self._shapes = _Shapes(
                 _measure_shape(samples), _measure_shape(samples[::2]), _measure_shape(samples[1::2])
