--- a/berylstair/platform/packet.py
+++ b/berylstair/platform/packet.py
@@ -77,6 +77,7 @@
         header.acknowledged,
         header.echo,
         data,
+        header.length,
     )
 
 
--- a/berylstair/segment.py
+++ b/berylstair/segment.py
@@ -27,6 +27,8 @@
             how many times the caller has sent it before.
         tag: Backend server's tag, as the caller last received it.
         data: The whole datagram.
+        data_length: Bytes of the caller's data in it, which tells a request from an
+            acknowledgement.
     """
 
     flow: FlowKey
@@ -37,6 +39,7 @@
     acknowledged: int
     tag: int
     data: bytes
+    data_length: int = 0
 
     @property
     def caller(self) -> Endpoint:
--- a/tests/test_platform_packet.py
+++ b/tests/test_platform_packet.py
@@ -60,6 +60,11 @@
             self.assertThat(data[8:40], Equals(OPENING[:32]))
             self.assertThat(data[40:44], Equals(bytes.fromhex('ddccbbaa')))
 
+    def test_the_length_of_the_data(self) -> None:
+        """Guards against acknowledgements that pass for retransmitted requests."""
+        lengths = [decode_segment(packet(128, length)).data_length for length in (0, 1, 700)]
+        self.assertThat(lengths, Equals([0, 1, 700]))
+
     def test_data_follows_unchanged(self) -> None:
         original = packet(128, length=5, echo=9)
         data = encapsulate(decode_segment(original), BackendId('i-1'), 9)
