Read where servers answer liveness checks, and who owns an address

Cause: a liveness check needs the path that the configuration states for a service, and must not ask an address that belongs to another server by now.

Change: Configuration.health_path_by_service, empty by default; an invalid entry of services states no path and leaves the configuration valid. The directory indexes registered servers by address and tells when an entry was removed.

--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from types import NoneType
+from types import MappingProxyType, NoneType
 from typing import Any, NamedTuple
 
 from berylstair.ids import BackendId, Endpoint, ServiceName
@@ -120,11 +120,17 @@
 
 
 class Configuration(NamedTuple):
-    """All routes of one published version."""
+    """All routes of one published version.
+
+    Attributes:
+        health_path_by_service: Where the servers of a service answer liveness checks;
+            without an entry, the servers of the service are not checked.
+    """
 
     version: int
     route_by_address: dict[Endpoint, Route]
     idle_timeout_s: float
+    health_path_by_service: Mapping[ServiceName, str] = MappingProxyType({})
 
 
 class ServerListed(NamedTuple):
@@ -207,6 +213,7 @@
         self._pool_by_service: dict[ServiceName, _ServicePool] = {}
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
+        self._registered_by_address: dict[Endpoint, set[BackendId]] = {}
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -355,6 +362,25 @@
         entry = self._entry_by_id.get(backend)
         return entry.registration.started_at_ms if entry else 0
 
+    def find_server(self, backend: BackendId) -> ServerRegistration | None:
+        """Returns a server as it last registered, also if its entry was removed since."""
+        entry = self._entry_by_id.get(backend)
+        return entry.registration if entry else None
+
+    def removed_at(self, backend: BackendId) -> float | None:
+        """Returns when a server's entry was removed, in seconds; None while it is registered."""
+        entry = self._entry_by_id.get(backend)
+        return entry.removed_at if entry else None
+
+    def is_gone(self, backend: BackendId, now: float) -> bool:
+        """Returns whether a server's entry was removed and the grace period is over."""
+        entry = self._entry_by_id.get(backend)
+        return entry is not None and entry.removed_at is not None and now >= entry.accepts_until
+
+    def is_address_of_another(self, backend: BackendId, address: Endpoint) -> bool:
+        """Returns whether an address belongs to another registered server."""
+        return bool(self._registered_by_address.get(address, set()) - {backend})
+
     def find_by_tag(self, tag: int, address: Endpoint) -> ServerRegistration | None:
         """Returns the server that a tag stands for on a service address.
 
@@ -409,6 +435,10 @@
         if previous is not None and previous.registration.service != registration.service:
             self._pool_by_service[previous.registration.service].entry_by_id.pop(backend, None)
             self._recompute_accepting(previous.registration.service, now)
+        if previous is not None:
+            self._release_address(previous.registration.server)
+        address = registration.server.address
+        self._registered_by_address.setdefault(address, set()).add(backend)
         entry = _ServerEntry(registration, now + registration.warmup_left_s)
         self._entry_by_id[backend] = entry
         self._entries_by_tag.setdefault(tag_of(backend), {})[backend] = entry
@@ -420,10 +450,18 @@
         entry = self._entry_by_id.get(backend)
         if entry is None or entry.removed_at is not None:
             return
+        self._release_address(entry.registration.server)
         entry.removed_at = now
         entry.accepts_until = now + grace_s
         self._recompute_accepting(entry.registration.service, now)
 
+    def _release_address(self, server: BackendServer) -> None:
+        holders = self._registered_by_address.get(server.address)
+        if holders is not None:
+            holders.discard(server.id)
+            if not holders:
+                self._registered_by_address.pop(server.address)
+
     def _recompute_accepting(self, service: ServiceName, now: float) -> None:
         """Recomputes which servers of a service accept new flows.
 
--- a/berylstair/platform/items.py
+++ b/berylstair/platform/items.py
@@ -117,9 +117,24 @@
         _require_int(published['version']),
         {route.address: route for route in routes},
         _require_amount(published.get('limits', {}).get('idle_timeout_ms', 15000)) / _MS_PER_S,
+        _decode_health_paths(published.get('services')),
     )
 
 
+def _decode_health_paths(services: Any) -> dict[ServiceName, str]:
+    """Decodes where servers answer liveness checks; an invalid entry states no path."""
+    path_by_service: dict[ServiceName, str] = {}
+    for entry in services if isinstance(services, list) else ():
+        try:
+            name = ServiceName(_require_name(entry['name']))
+            path = _require_name(entry['health_path'])
+        except (KeyError, TypeError, ValueError):
+            continue
+        if path.startswith('/') and path.isascii() and ' ' not in path:
+            path_by_service[name] = path
+    return path_by_service
+
+
 def _decode_route(route: dict[str, Any]) -> Route:
     # 'prefix' holds the port between slashes.
     address = parse_endpoint(f'{route["host"]}:{route["prefix"].strip("/")}')
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -186,3 +186,43 @@
         apply_change(directory, 'config', 4, configuration_published(1))
         newer = [change.key for change in directory.changes_after(Position(1, 1))]
         self.assertThat(newer, Equals(['config']))
+
+
+class AddressTest(TestCase):
+    """Which server an address belongs to, for liveness checks."""
+
+    def test_a_reused_address_belongs_to_another_server(self) -> None:
+        """Guards against a check of one server that proves something about another."""
+        directory = Directory()
+        old, new = BackendId('i-1'), BackendId('i-2')
+        address = Endpoint('10.1.0.1', 9000)
+
+        def apply(revision: int, name: str, change: DecodedChange) -> None:
+            source_change = SourceChange(f'servers/{name}', Position(1, revision), b'x')
+            directory.apply(source_change, change, float(revision), 0)
+
+        apply(1, old, server_listed(old))
+        owned = [directory.is_address_of_another(old, address)]
+        apply(2, new, server_listed(new))
+        owned.append(directory.is_address_of_another(old, address))
+        apply(3, old, ServerRemoved(old))
+        owned.append(directory.is_address_of_another(old, address))
+        owned.append(directory.is_address_of_another(new, address))
+        apply(4, new, ServerRemoved(new))
+        owned.append(directory.is_address_of_another(old, address))
+        self.assertThat(owned, Equals([False, True, True, False, False]))
+
+    def test_a_removed_server_is_gone_after_the_grace_period(self) -> None:
+        """Guards against servers that look gone while their entries are being restored."""
+        directory = Directory()
+        backend = BackendId('i-1')
+        directory.apply(
+            SourceChange('servers/i-1', Position(1, 1), b'x'), server_listed(backend), 1, 0
+        )
+        self.assertThat(directory.is_gone(backend, 9), Equals(False))
+        removal = SourceChange('servers/i-1', Position(1, 2), None)
+        directory.apply(removal, ServerRemoved(backend), 10, 2.2)
+        self.assertThat(
+            [directory.is_gone(backend, at) for at in (12.1, 12.3)], Equals([False, True])
+        )
+        self.assertThat(directory.removed_at(backend), Equals(10))
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -117,6 +117,26 @@
         route = next(iter(change.configuration.route_by_address.values()))
         self.assertThat(route.weight_by_service, Equals({'a': 90.0, 'b': 10.0}))
 
+    def test_paths_of_liveness_checks(self) -> None:
+        """Guards against a broken entry that makes a configuration invalid or splits a request."""
+        entries = [
+            {'name': 'a', 'health_path': '/health'},
+            {'name': 'b'},
+            {'name': 'c', 'health_path': '/x HTTP/1.1\r\nX: y'},
+            {'name': 'd', 'health_path': 'health'},
+            {'name': 'e', 'health_path': '/a b'},
+            {'name': 'f', 'health_path': '/\u00e9'},
+            {'name': 'g', 'health_path': 7},
+            {'name': 8, 'health_path': '/health'},
+            'h',
+            None,
+        ]
+        for services, expected in ((entries, {'a': '/health'}), (None, {}), ('x', {}), ({}, {})):
+            published = {'version': 7, 'routes': [ROUTE], 'services': services}
+            text = json.dumps(published).encode()
+            change = decode_change(SourceChange('op/config', POSITION, text))
+            self.assertThat(change.configuration.health_path_by_service, Equals(expected))
+
     def test_an_unreadable_configuration(self) -> None:
         for text in (b'', b'{}', b'{"version": 1, "routes": [{}]}'):
             change = SourceChange('op/config', POSITION, text)
