--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
     'log',
     'peers',
     'ports',
+    'server_check',
     'serving',
     'settings',
     'source',
