Reset the callers of open flows whose server has died

Cause: a caller on an open flow of a crashed server waits until its deadline of 3.6 s.

Change: instances report stalled flows and progress to the dispatching instance of the service, which has the server checked by two instances in its zone and a third one, decides, and notifies the others as directory changes are (failed_servers.py, check_rounds.py, server_facts.py). A dead server gets no new flows, and its callers are reset with the acknowledgement number of their last segment. A verdict is believed for 2.5 s after the checks, so that a server that is back soon keeps its flows. Active only where the configuration states health_path for the service. The simulation gains checks, losses and long-lived flows.

--- a/berylstair/assigner.py
+++ b/berylstair/assigner.py
@@ -74,6 +74,9 @@
     """Assigns flows to servers by the leases that are counted here.
 
     The counts are exact on the dispatching instance and partial on others.
+
+    Attributes:
+        is_server_dead: Returns whether a server was found dead and gets no new flows.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         """
         self._directory = directory
         self._is_zone_reachable = is_zone_reachable
+        self.is_server_dead: Callable[[BackendId, float], bool] = lambda _backend, _now: False
         self._state_by_service: dict[ServiceName, _ServiceState] = {}
 
     @property
@@ -305,7 +309,8 @@
         accepting = self._directory.accepting_servers(service, now)
         if accepting is state.accepting and now - state.refreshed_at < CANDIDATES_REFRESH_S:
             return state.candidates
-        reachable = [server for server in accepting if self._is_zone_reachable(server.zone)]
+        alive = [server for server in accepting if not self.is_server_dead(server.id, now)]
+        reachable = [server for server in alive if self._is_zone_reachable(server.zone)]
         state.accepting = accepting
         state.refreshed_at = now
         state.candidates = [
@@ -314,7 +319,7 @@
                 state.lease_table.server_state(server.id),
                 self._directory.warmup_left_s(server.id, now) > 0,
             )
-            for server in reachable or accepting
+            for server in reachable or alive
         ]
         state.slots = _count_usable_slots(state.candidates, now)
         return state.candidates
--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -48,6 +48,8 @@
     CHANGES_IGNORED = 'changes_ignored'
     CONTROL_MESSAGES = 'control_messages'
     CONTROL_BYTES = 'control_bytes'
+    DEAD_SERVER_RESETS = 'dead_server_resets'
+    LIVENESS_CHECKS = 'liveness_checks'
 
 
 class Counters:
--- a/berylstair/server_death.py
+++ b/berylstair/server_death.py
@@ -103,7 +103,7 @@
     """A flow whose request is unanswered.
 
     Attributes:
-        since: When the request was first sent.
+        since: When a copy of the request was forwarded after which none was answered.
         reported_at: When its last retransmission was reported.
     """
 
@@ -211,7 +211,8 @@
         Args:
             server: Server of the flow.
             caller: Address and port of its caller.
-            since: When the data was first sent, in seconds.
+            since: When a copy of the data was forwarded after which none was answered, in
+                seconds.
             reporter: Instance that saw it.
             now: Current time in seconds.
         """
--- a/berylstair/stall_report.py
+++ b/berylstair/stall_report.py
@@ -18,6 +18,9 @@
 # The second retransmission, 0.6 s after the request, finds the flow stalled: requests that
 # meet the latency target, 606 ms, are answered by then.
 STALL_S = 0.5
+# The first and the second retransmission are 0.4 s apart; copies that arrive closer together
+# have waited on the way.
+MIN_REPETITION_S = 0.3
 # Reports of stalled flows per second, about 60 bytes each, for one server and in all.
 MAX_REPORTS_PER_SERVER = 4
 MAX_REPORTS_PER_S = 40
@@ -40,11 +43,20 @@
         segment: The first copy of it.
         forwarded_at: When this instance forwarded that copy. A copy that waited in a
             paused process has not reached the server before.
+        repeated_at: When it forwarded the second copy, infinite before. An answer to
+            another flow before that time, which may have been under way when the server
+            crashed, does not show that this copy reached a live server.
     """
 
     server: ServerLifetime
     segment: Segment
     forwarded_at: float
+    repeated_at: float = math.inf
+
+    @property
+    def silent_since(self) -> float:
+        """Since when progress of any flow would show that the server is alive."""
+        return self.forwarded_at if math.isinf(self.repeated_at) else self.repeated_at
 
 
 class StallTracker:
@@ -82,14 +94,13 @@
         if held is None or held.server != server:
             self._pending_by_flow[segment.flow] = _PendingRequest(server, segment, now)
             return news
-        is_same = held.segment.sequence == segment.sequence
-        if is_same and now - held.forwarded_at >= STALL_S:
-            return FlowNews.STALLED
+        if held.segment.sequence == segment.sequence:
+            return self._observe_repetition(held, now)
         return news
 
-    def stalled_since(self, flow: FlowKey) -> float:
-        """Returns when a flow's unanswered request was first forwarded, in seconds."""
-        return self._pending_by_flow[flow].forwarded_at
+    def silent_since(self, flow: FlowKey) -> float:
+        """Returns since when a stalled flow shows that its server is silent, in seconds."""
+        return self._pending_by_flow[flow].silent_since
 
     def progress_at(self, server: ServerLifetime) -> float:
         """Returns when a flow of a server last showed progress here, in seconds."""
@@ -128,6 +139,14 @@
             if at > oldest - EVIDENCE_RETENTION_S
         }
 
+    def _observe_repetition(self, held: _PendingRequest, now: float) -> FlowNews:
+        if now - held.forwarded_at < STALL_S:
+            if math.isinf(held.repeated_at):
+                self._pending_by_flow[held.segment.flow] = held._replace(repeated_at=now)
+            return FlowNews.NOTHING
+        is_stalled = now - held.silent_since >= MIN_REPETITION_S
+        return FlowNews.STALLED if is_stalled else FlowNews.NOTHING
+
 
 class ReportBudget:
     """Limits how many stalled flows an instance reports in a second."""
--- a/berylstair/steering.py
+++ b/berylstair/steering.py
@@ -16,6 +16,7 @@
 from berylstair.directory_source import SourceListing
 from berylstair.directory_sync import ChangeDecoder, DirectorySync
 from berylstair.errors import ErrorKind
+from berylstair.failed_servers import REVIEW_INTERVAL_S, FailedServers
 from berylstair.fleet import FLEET_HEARTBEAT_INTERVAL_S
 from berylstair.flow_opener import FlowOpener, superseded_after_s
 from berylstair.flowlog import describe_flow
@@ -82,17 +83,20 @@
         self._placement = PlacementProtocol(self.core, self._flow_opener)
         self.directory_sync = DirectorySync(self.core, decode_change)
         self._liveness = LivenessProtocol(self.core, self._placement, self.directory_sync)
+        self.failed_servers = FailedServers(self.core, self._flow_opener)
         self._handler_by_message_type: Mapping[
             type[Any], Callable[[InstanceId, Any, float], None]
         ] = {
             DirectoryUpdate: self.directory_sync.handle_update,
             PeerLost: self._liveness.handle_peer_lost,
+            **self.failed_servers.message_handlers(),
         }
         for period_s, task in (
             (FLEET_HEARTBEAT_INTERVAL_S, self._liveness.send_periodic_heartbeat),
             (PROBE_INTERVAL_S, self._liveness.probe_peers),
             (FLEET_HEARTBEAT_INTERVAL_S, self._check_directory_age),
             (REPORT_INTERVAL_S, self._prune_and_report),
+            (REVIEW_INTERVAL_S, self.failed_servers.review),
         ):
             self._schedule_periodic(period_s, task, now)
 
@@ -137,6 +141,8 @@
             self.core.counters.record_refusal(ErrorKind.UNKNOWN_TAG)
             return
         flow.last_segment_at = now
+        if self.failed_servers.handle_segment(flow, segment, now):
+            return
         self.core.actions.append(SendSegment(flow.server, segment, flow.tag))
         self._flow_opener.handle_caller_segment(flow, segment)
         if flow.phase is FlowPhase.OPEN:
@@ -219,6 +225,7 @@
         self.core.counters.record_traffic(Traffic.PAUSES)
         self.core.log(LogEvent.PAUSED, f'seconds={paused_s:.1f}')
         self.core.fleet.membership.reset_peer_timeouts(now)
+        self.failed_servers.handle_pause(now)
         # The peers may have declared this instance lost.
         self._liveness.broadcast_heartbeat(now)
 
--- a/berylstair/steering_action.py
+++ b/berylstair/steering_action.py
@@ -3,12 +3,20 @@
 from typing import Any, NamedTuple
 
 from berylstair.directory import Position
-from berylstair.ids import Endpoint
+from berylstair.ids import Endpoint, InstanceId
 from berylstair.record import BackendServer
 from berylstair.segment import Segment
+from berylstair.server_death import ServerLifetime
 from berylstair.shared_action import LogEntry, Stopped
 
-__all__ = ['FetchDirectory', 'ResetCaller', 'SendMessage', 'SendSegment', 'SteeringAction']
+__all__ = [
+    'CheckServer',
+    'FetchDirectory',
+    'ResetCaller',
+    'SendMessage',
+    'SendSegment',
+    'SteeringAction',
+]
 
 
 class SendSegment(NamedTuple):
@@ -20,10 +28,10 @@
 
 
 class ResetCaller(NamedTuple):
-    """Sends a reset to a caller whose flow is refused.
+    """Sends a reset to a caller whose flow is refused, or whose server has died.
 
     Attributes:
-        segment: Opening segment of the flow.
+        segment: Opening segment of the flow, or a later one of an open flow.
         sequence: Sequence number of the reset.
     """
 
@@ -50,4 +58,20 @@
     claim: tuple[Position, int] | None = None
 
 
-SteeringAction = SendSegment | ResetCaller | SendMessage | FetchDirectory | LogEntry | Stopped
+class CheckServer(NamedTuple):
+    """Checks whether a server accepts a connection.
+
+    Attributes:
+        path: What the check requests with HTTP.
+        requester: Instance that is told the outcome.
+    """
+
+    server: ServerLifetime
+    address: Endpoint
+    path: str
+    requester: InstanceId
+
+
+SteeringAction = (
+    SendSegment | ResetCaller | SendMessage | FetchDirectory | CheckServer | LogEntry | Stopped
+)
--- a/berylstair/steering_loop.py
+++ b/berylstair/steering_loop.py
@@ -1,7 +1,7 @@
 """Actor that owns the sockets and the core of a steering instance."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from http import HTTPStatus
 from threading import Event
 from typing import Any
@@ -14,10 +14,17 @@
 from berylstair.linelog import LineLog
 from berylstair.membership import PAUSE_THRESHOLD_S
 from berylstair.read_schedule import ReadPlan, ReadSchedule
+from berylstair.server_check import check_server
 from berylstair.serving import Serve, boot_clock
 from berylstair.shared_action import LogEntry, Stopped
 from berylstair.steering import SteeringInstance
-from berylstair.steering_action import FetchDirectory, ResetCaller, SendMessage, SendSegment
+from berylstair.steering_action import (
+    CheckServer,
+    FetchDirectory,
+    ResetCaller,
+    SendMessage,
+    SendSegment,
+)
 from berylstair.steering_links import fetch_directory, serve_directory, serve_page
 from berylstair.steering_ports import SteeringSockets
 from berylstair.steering_settings import SteeringSettings
@@ -174,7 +181,8 @@
             SendSegment: self._sockets.send_segment,
             ResetCaller: self._sockets.send_reset,
             SendMessage: self._sockets.send_message,
-            FetchDirectory: self._start_fetch,
+            FetchDirectory: lambda action: self._start_task(self._fetch_changes(action)),
+            CheckServer: lambda action: self._start_task(self._check_server(action)),
             LogEntry: lambda action: self._log.write(LogEvent(action.event_number), action.detail),
             Stopped: lambda action: self._loop.stop(),
         }
@@ -248,11 +256,16 @@
         self._timer_at = wake_at
         self._timer = self._loop.call_later(max(wake_at - boot_clock(), 0), self._handle_timer)
 
-    def _start_fetch(self, action: FetchDirectory) -> None:
-        task = self._loop.create_task(self._fetch_changes(action))
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _check_server(self, action: CheckServer) -> None:
+        outcome = await check_server(action.address, action.path)
+        rounds = self._steering.failed_servers.rounds
+        self._run_work(lambda now: rounds.handle_check_result(action, outcome, now))
+
     async def _fetch_changes(self, action: FetchDirectory) -> None:
         try:
             reply = await fetch_directory(action.target, action.after)
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -12,6 +12,10 @@
 from berylstair.codec import MessageCodec
 from berylstair.directory import Position, SourceChange, WriterVersion
 from berylstair.lease_table import Outcome
+from berylstair.server_death_message import (
+    SERVER_DEATH_MESSAGES,
+    SERVER_DEATH_ROWS,
+)
 
 __all__ = [
     'STEERING_CODEC',
@@ -252,6 +256,7 @@
     DirectoryReply,
     DirectoryUpdate,
     PeerLost,
+    *SERVER_DEATH_MESSAGES,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
@@ -261,6 +266,7 @@
     (LeaseReport, 'rows'): LeaseRow,
     (DirectoryReply, 'rows'): DirectoryChangeRow,
     (DirectoryUpdate, 'rows'): DirectoryChangeRow,
+    **SERVER_DEATH_ROWS,
 }
 STEERING_CODEC = MessageCodec(_MESSAGE_TYPES, _ROW_TYPE_BY_FIELD)
 
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -25,9 +25,16 @@
 from berylstair.membership import PAUSE_THRESHOLD_S
 from berylstair.record import BackendServer, BackendState
 from berylstair.segment import Segment
+from berylstair.server_death import CheckOutcome
 from berylstair.shared_action import LogEntry, Stopped
 from berylstair.steering import SteeringInstance
-from berylstair.steering_action import FetchDirectory, ResetCaller, SendMessage, SendSegment
+from berylstair.steering_action import (
+    CheckServer,
+    FetchDirectory,
+    ResetCaller,
+    SendMessage,
+    SendSegment,
+)
 from berylstair.steering_links import FETCH_TIMEOUT_S
 from berylstair.steering_message import STEERING_CODEC
 from berylstair.steering_settings import Capacity, SteeringSettings, TimeLimits
@@ -46,6 +53,10 @@
 # Pauses before a server repeats its answer to an opening segment.
 ACCEPT_REPEATED_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 SOURCE_CONFIRMATION_INTERVAL_S = 0.5
+# A liveness check that nothing answers, with its three connections.
+CHECK_TIMEOUT_S = 0.5
+CONNECTIONS_PER_CHECK = 3
+HEALTH_PATH = '/health'
 MIN_TIMER_DELAY_S = 0.0001
 
 
@@ -86,6 +97,8 @@
         accept_delay_s: Delay of its answer to an opening segment, beyond the
             network delay.
         is_dead: Whether it drops all segments; work in progress still ends.
+        is_frozen: Whether its process is frozen: connections are accepted, nothing is answered.
+        refuses_connections: Whether its machine runs on after the server has died.
         open_flows: Keys of the flows that it holds.
         tag_by_flow: Tag of the last segment received of each flow, which it sends.
         opening_count_by_flow: Opening segments received, by flow key.
@@ -97,6 +110,8 @@
     slowness: float = 1.0
     accept_delay_s: float = 0.0
     is_dead: bool = False
+    is_frozen: bool = False
+    refuses_connections: bool = False
     busy_slots: int = 0
     queued_flows: list[CallerFlow] = field(default_factory=list)
     open_flows: set[FlowKey] = field(default_factory=set)
@@ -120,7 +135,13 @@
             until the caller acknowledges it.
         accept_loss_ratio: Share of those answers that are lost.
         opening_loss_ratio: Share of opening segments lost between instance and server.
+        segment_loss_ratio: Share of other segments lost there, and of the packets of
+            liveness checks in each direction.
+        message_loss_ratio: Share of the messages between instances that are lost.
+        check_times: When each liveness check began, by server.
         on_flow_ended: Called with each flow that gets an outcome.
+        on_request: Called with server, flow and segment for data on an open flow.
+        on_reset: Called with each flow that is reset.
         sent_messages: Messages sent between instances, by type name.
         source_items: Items in the platform's store, by key.
         source_position: Position of the platform's store.
@@ -162,7 +183,14 @@
         self.repeats_accepts = False
         self.accept_loss_ratio = 0.0
         self.opening_loss_ratio = 0.0
+        self.segment_loss_ratio = 0.0
+        self.message_loss_ratio = 0.0
+        self.check_times: defaultdict[BackendId, list[float]] = defaultdict(list)
         self.on_flow_ended: Callable[[CallerFlow], None] = lambda flow: None
+        self.on_request: Callable[[SimulatedServer, CallerFlow, Segment], None] = (
+            lambda server, flow, segment: None
+        )
+        self.on_reset: Callable[[CallerFlow], None] = lambda flow: None
         self.sent_messages: Counter[str] = Counter()
         self.source_items: dict[str, SourceChange] = {}
         self.source_position = Position(1, 0)
@@ -292,12 +320,13 @@
             self.server_by_id[backend] = SimulatedServer(entry, index + 1)
             self.publish(f'servers/{backend}', ServerListed(ServerRegistration(entry, SERVICE)))
 
-    def add_route(self, version: int = 1, only_ip: str = '') -> None:
+    def add_route(self, version: int = 1, only_ip: str = '', has_health_path: bool = False) -> None:
         """Publishes a configuration with one route, which one instance or all read."""
+        paths = {SERVICE: HEALTH_PATH} if has_health_path else {}
         route = Route('status', SERVICE_ADDRESS, {SERVICE: 1.0}, True, 4.0, 0.25, 2)
         self.publish(
             'config',
-            ConfigurationPublished(Configuration(version, {SERVICE_ADDRESS: route}, 15)),
+            ConfigurationPublished(Configuration(version, {SERVICE_ADDRESS: route}, 15, paths)),
             only_ip,
         )
 
@@ -379,7 +408,7 @@
 
     def send_next_request(self, flow: CallerFlow) -> None:
         """Sends a further request on an open flow, with the tag that its caller has."""
-        self._send_from_caller(flow, self._make_segment(flow)._replace(sequence=9))
+        self.send_from_caller(flow, self._make_segment(flow)._replace(sequence=9))
 
     def repeat_accept(self, flow: CallerFlow, server: SimulatedServer) -> None:
         """Delivers to a flow's caller another accept, which may be of another server."""
@@ -465,6 +494,7 @@
             ResetCaller: self._reset_caller,
             SendMessage: self._send_message,
             FetchDirectory: self._start_fetch,
+            CheckServer: self._check_server,
             LogEntry: lambda instance_ip, entry: self.log_entries.append((instance_ip, entry)),
             Stopped: lambda instance_ip, _stopped: self._record_stopped(instance_ip),
         }
@@ -480,12 +510,40 @@
         if self.resets_to_lose:
             self.resets_to_lose -= 1
             return
-        self.schedule(CALLER_DELAY_S, lambda: self._end_flow(flow, 'reset'))
+        self.schedule(CALLER_DELAY_S, lambda: self._handle_reset(flow))
+
+    def _handle_reset(self, flow: CallerFlow) -> None:
+        self.on_reset(flow)
+        self._end_flow(flow, 'reset')
+
+    def _check_server(self, ip: str, action: CheckServer) -> None:
+        server = self.server_by_id[action.server.backend]
+        self.check_times[action.server.backend].append(self.now)
+        outcome = self._outcome_of_check(ip, server)
+        delay_s = CHECK_TIMEOUT_S if outcome is CheckOutcome.NOT_ACCEPTED else INTERNAL_DELAY_S
+        self.schedule_at(ip, delay_s, lambda: self._deliver_outcome(ip, action, outcome))
+
+    def _outcome_of_check(self, ip: str, server: SimulatedServer) -> CheckOutcome:
+        both_ways = (1 - self.segment_loss_ratio) ** 2
+        is_lost = self.rng.random() < (1 - both_ways) ** CONNECTIONS_PER_CHECK
+        if is_lost or (ip, server.backend_server.address.ip) in self.blocked_links:
+            return CheckOutcome.NOT_ACCEPTED
+        if not server.is_dead:
+            return CheckOutcome.ACCEPTED
+        is_refused = server.refuses_connections
+        return CheckOutcome.REFUSED if is_refused else CheckOutcome.NOT_ACCEPTED
+
+    def _deliver_outcome(self, ip: str, action: CheckServer, outcome: CheckOutcome) -> None:
+        steering = self.steering_by_ip[ip]
+        steering.failed_servers.rounds.handle_check_result(action, outcome, self.now_at(ip))
+        self._perform_actions(ip, steering)
 
     def _send_message(self, ip: str, action: SendMessage) -> None:
         self.sent_messages[type(action.message).__name__] += 1
         data = STEERING_CODEC.encode(action.message)
         target = action.target.ip
+        if self.message_loss_ratio and self.rng.random() < self.message_loss_ratio:
+            return
         delay_s = INTERNAL_DELAY_S + self.delay_by_ip[ip] + self.delay_by_ip[target]
         self.schedule_at(target, delay_s, lambda: self._deliver_to_peer(ip, target, data))
 
@@ -531,7 +589,7 @@
         same_zone = [ip for ip in ready if self.steering_by_ip[ip].core.settings.zone == zone]
         return same_zone or ready
 
-    def _send_from_caller(self, flow: CallerFlow, segment: Segment) -> None:
+    def send_from_caller(self, flow: CallerFlow, segment: Segment) -> None:
         rotation = self._instances_in_rotation(flow.zone)
         if rotation:
             ip = rotation[int.from_bytes(flow.key[:6], 'big') % len(rotation)]
@@ -562,7 +620,7 @@
 
     def _send_opening(self, flow: CallerFlow, retransmission_count: int) -> None:
         if not flow.outcome and flow.backend_id is None:
-            self._send_from_caller(
+            self.send_from_caller(
                 flow, Segment(flow.key, True, False, False, 7, retransmission_count, 0, b'')
             )
 
@@ -582,6 +640,10 @@
         flow = self.flow_by_key[segment.flow]
         if segment.is_opening and self.rng.random() < self.opening_loss_ratio:
             return
+        if self.segment_loss_ratio and self.rng.random() < self.segment_loss_ratio:
+            return
+        if server.is_frozen:
+            return
         is_first = flow.key not in server.tag_by_flow
         server.tag_by_flow[flow.key] = segment.tag
         if segment.is_opening:
@@ -589,7 +651,8 @@
             if flow.key not in server.open_flows:
                 self._send_accept(flow, server, ACCEPT_REPEATED_AFTER_S if is_first else ())
         elif flow.key in server.open_flows:
-            return
+            if segment.data_length:
+                self.on_request(server, flow, segment)
         elif flow.backend_id == server.backend_server.id and not segment.is_closing:
             server.open_flows.add(flow.key)
             server.queued_flows.append(flow)
@@ -636,14 +699,14 @@
         if flow.backend_id is None:
             flow.backend_id = server.backend_server.id
             flow.acknowledged = sequence + 1
-            self._send_from_caller(flow, self._make_segment(flow))
+            self.send_from_caller(flow, self._make_segment(flow))
 
     def _handle_response(self, flow: CallerFlow, tag: int) -> None:
         flow.tag = tag
         self._end_flow(flow, 'answered')
         flow.acknowledged += 500
         segment = self._make_segment(flow)
-        self._send_from_caller(flow, segment._replace(is_closing=not flow.stays_open))
+        self.send_from_caller(flow, segment._replace(is_closing=not flow.stays_open))
 
     def _make_segment(self, flow: CallerFlow) -> Segment:
         return Segment(flow.key, False, False, False, 8, flow.acknowledged, flow.tag, b'')
--- a/tests/test_stall_report.py
+++ b/tests/test_stall_report.py
@@ -74,6 +74,25 @@
         news = observe_all([(2.0, REQUEST) for _ in SENT_AT_S])
         self.assertThat(set(news), Equals({FlowNews.NOTHING}))
 
+    def test_copies_that_waited_after_the_first_one_show_nothing(self) -> None:
+        """Guards against a stall of a request whose first copy was lost before a pause."""
+        news = observe_all([(0.0, REQUEST), (0.45, REQUEST), (0.7, REQUEST)])
+        self.assertThat(set(news), Equals({FlowNews.NOTHING}))
+
+    def test_an_answer_under_way_at_the_crash_does_not_count_against_a_stall(self) -> None:
+        """Guards against a death that stays unknown since another flow was just answered."""
+        tracker = StallTracker()
+        for at in SENT_AT_S[:3]:
+            tracker.observe(SERVER, REQUEST, at)
+        self.assertThat(tracker.silent_since(REQUEST.flow), Equals(0.2))
+
+    def test_a_stall_without_the_first_retransmission(self) -> None:
+        """Guards against a lost retransmission that hides a stall."""
+        tracker = StallTracker()
+        tracker.observe(SERVER, REQUEST, 0)
+        self.assertThat(tracker.observe(SERVER, REQUEST, 0.6), Equals(FlowNews.STALLED))
+        self.assertThat(tracker.silent_since(REQUEST.flow), Equals(0))
+
     def test_requests_are_dropped_once_their_callers_have_given_up(self) -> None:
         """Guards against memory that grows with each request that was lost."""
         tracker = StallTracker()
