Answer liveness checks in the emulated platform and the soak

Cause: the emulated configuration states health_path, but the emulated servers had no TCP port, so that a server that was slow or cut off would have refused its checks and looked dead.

Change: HealthPort answers checks at the address of each emulated server. In a soak run it is closed while there is no server at the address, as after a crash. A flow that an instance resets is a finding only if its server runs and holds it, which is one check now for one-request and long-lived flows. It compares the caller's address besides its port, as the three callers use the same ports and another caller's flow could count as the one that ended.

--- a/emulator/platform_fleet.py
+++ b/emulator/platform_fleet.py
@@ -22,6 +22,7 @@
 from berylstair.ids import Endpoint
 from berylstair.udp import MAX_DATAGRAM_BYTES, open_udp_socket
 from emulator.cluster import wait_until
+from emulator.health_port import HealthPort
 from emulator.platform_pages import (
     SERVICE_IP,
     make_configuration,
@@ -87,7 +88,8 @@
         opening_count: Opening segments received.
         misrouted_packets: Packets received of flows that it does not hold.
         run_count_by_caller: Requests run, by the caller's IP address and port.
-        is_dead: Whether it drops all packets.
+        is_dead: Whether it drops all packets, as a frozen one does; it goes on accepting
+            connections.
     """
 
     def __init__(self, name: str, endpoint: Endpoint, caller_port: int) -> None:
@@ -109,11 +111,13 @@
         self._open_flows: set[tuple[int, int]] = set()
         self._socket = open_udp_socket(endpoint)
         self._socket.setblocking(True)
+        self._health_port = HealthPort(endpoint)
         threading.Thread(target=self._serve, daemon=True).start()
 
     def close(self) -> None:
         """Closes the socket, which ends the thread."""
         self.is_dead = True
+        self._health_port.close()
         self._socket.close()
 
     def _serve(self) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -152,7 +152,12 @@
 
 
 class Caller:
-    """A caller: one address and the flows opened from it."""
+    """A caller: one address and the flows opened from it.
+
+    Attributes:
+        is_flow_held: Returns whether the server of a flow runs and holds it; only then
+            nobody else may reset the flow.
+    """
 
     def __init__(
         self,
@@ -180,6 +185,7 @@
         self._rng = rng
         self._ports = count(_FIRST_PORT)
         self._flow_by_port: dict[int, CallerFlow] = {}
+        self.is_flow_held: Callable[[CallerFlow], bool] = lambda _flow: True
         self._socket = UdpSocket(Endpoint(ip, port), self._handle_datagram)
 
     def close(self) -> None:
@@ -221,7 +227,8 @@
             self._observations.add_finding(
                 Promise.OWN_ANSWER, now, f'request={request_number} answer={detail!r}'
             )
-        if outcome is RequestOutcome.SERVER_RESET and detail.decode() != flow.server_ip:
+        is_foreign = outcome is RequestOutcome.SERVER_RESET and detail.decode() != flow.server_ip
+        if is_foreign and self.is_flow_held(flow):
             self._observations.add_finding(
                 Promise.OPEN_FLOW, now, f'caller={flow.caller_address} reset by {detail.decode()}'
             )
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -122,6 +123,7 @@
                 self.observations,
                 Random(self.rng.random()),
             )
+            caller.is_flow_held = self.is_flow_held
             self.callers.append(caller)
             stack.callback(caller.close)
         while any(instance.missed_checks for instance in self.fleet.instances):
@@ -164,6 +166,16 @@
         flow.close()
         return outcome or RequestOutcome.ANSWERED
 
+    def is_flow_held(self, flow: CallerFlow) -> bool:
+        """Returns whether the server that a flow opened at runs and holds it."""
+        caller = (int(IPv4Address(flow.caller_address.ip)), flow.caller_address.port)
+        return any(
+            address.server is not None
+            and address.endpoint.ip == flow.server_ip
+            and any(key[2:] == caller for key in address.server.flow_by_key)
+            for address in self.server_addresses
+        )
+
     def _send_through_fabric(self, packet: bytes, source: Endpoint) -> None:
         """Sends a caller's packet to an instance, as the fabric does with its ``mod`` hash."""
         zone = ZONES[int(source.ip.rpartition('.')[2]) - 1]
--- a/soak/run.py
+++ b/soak/run.py
@@ -213,12 +213,7 @@
     A flow may end only with its server. It may become silent only while an
     instance is, or was recently, disrupted.
     """
-    server_address = next(
-        address for address in environment.server_addresses if address.endpoint.ip == flow.server_ip
-    )
-    is_flow_held = server_address.server is not None and any(
-        flow_key[3] == flow.caller_address.port for flow_key in server_address.server.flow_by_key
-    )
+    is_flow_held = environment.is_flow_held(flow)
     now = environment.clock.now()
     is_settled = all(
         environment.fleet.is_settled(instance, now) for instance in environment.fleet.instances
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -6,6 +6,7 @@
 from ipaddress import IPv4Address
 
 from berylstair.ids import Endpoint
+from emulator.health_port import HealthPort
 from emulator.platform_fleet import ACK, FIN, PACKET_HEADER, RST, SYN, pack_packet
 from emulator.udp import UdpSocket
 from soak.clock import RunClock
@@ -170,7 +171,10 @@
 
 
 class ServerAddress:
-    """An address and the server that currently uses it."""
+    """An address and the server that currently uses it.
+
+    While there is one, liveness checks are answered; otherwise the connections are refused.
+    """
 
     def __init__(
         self,
@@ -191,17 +195,37 @@
                 port, the server and the sender.
         """
         self.endpoint = endpoint
-        self.server: BackendServer | None = None
+        self._server: BackendServer | None = None
+        self._health_port: HealthPort | None = None
         self._caller_port = caller_port
         self._on_flow_opened = on_flow_opened
         self._socket = UdpSocket(endpoint, self._handle_datagram)
         self._transmit = transmit
         self._transmit_answer = transmit_answer
 
+    @property
+    def server(self) -> BackendServer | None:
+        """The server at the address, None while there is none."""
+        return self._server
+
+    @server.setter
+    def server(self, server: BackendServer | None) -> None:
+        self._server = server
+        if server is None:
+            self._close_health_port()
+        elif self._health_port is None:
+            self._health_port = HealthPort(self.endpoint)
+
     def close(self) -> None:
-        """Closes the socket."""
+        """Closes the sockets."""
+        self._close_health_port()
         self._socket.close()
 
+    def _close_health_port(self) -> None:
+        if self._health_port is not None:
+            self._health_port.close()
+            self._health_port = None
+
     def _handle_datagram(self, datagram: bytes, source: Endpoint) -> None:
         self._transmit(source, lambda: self._deliver(datagram, source))
 
