Show that the tests of failed servers fail without the mechanism

Change: three cases of tools/prove_red.py: callers of a dead server are not reset, silence across a cut counts as a death, and a connection that was accepted does not disprove it.

--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -20,6 +20,7 @@
 INSTANCE_TESTS = 'tests/test_instance.py'
 FLOW_OFFER_TESTS = 'tests/test_flow_offers.py'
 PEER_CLAIM_TESTS = 'tests/test_peer_claims.py'
+FAILED_SERVER_TESTS = 'tests/test_failed_servers.py'
 FAR_AHEAD = 'far_ahead'
 
 
@@ -571,6 +572,33 @@
         'no_answer_time',
         'tests/test_peer_numbers.py',
     ),
+    MutationCase(
+        'platform: open flows of a failed server',
+        'callers of a dead server are reset',
+        'death_register',
+        'return now - verdict.checked_at < DEATH_VALIDITY_S',
+        'return False',
+        'every_caller_is_reset or no_new_flow',
+        FAILED_SERVER_TESTS,
+    ),
+    MutationCase(
+        'platform: open flows of a failed server',
+        'silence across a cut is no death',
+        'server_death',
+        'check.outcome is CheckOutcome.REFUSED or check.is_in_zone for check in failed',
+        'True for check in failed',
+        'live_server_is_reset and cut_zone',
+        FAILED_SERVER_TESTS,
+    ),
+    MutationCase(
+        'platform: open flows of a failed server',
+        'an accepted connection disproves a death',
+        'server_death',
+        'if any(check.outcome is CheckOutcome.ACCEPTED for check in checks):',
+        'if False:',
+        'does_not_look_dead or outweighs',
+        'tests/test_server_death.py',
+    ),
 )
 
 
