Do not check servers that drain

Cause: a draining server may close its port while it serves its open flows, and would refuse checks as a dead one does. Whether servers do so is not known.

Change: no checks, and so no verdict, until the entry is gone.

Result: tests/test_failed_servers.py passes, with a new test of it.

--- a/berylstair/server_facts.py
+++ b/berylstair/server_facts.py
@@ -55,10 +55,16 @@
         return registration if self._find_path(registration) else None
 
     def find_check_place(self, server: ServerLifetime) -> CheckPlace | None:
-        """Returns where a server can be checked, None if its address belongs to another now."""
+        """Returns where a server can be checked, None if a check would prove nothing.
+
+        Its address may belong to another server by now, and a server that drains may
+        accept no more connections.
+        """
         registration = self.find_registration(server)
         if registration is None:
             return None
+        if not registration.server.is_accepting and not self.is_removed(server):
+            return None
         address = registration.server.address
         if self._core.directory.is_address_of_another(server.backend, address):
             return None
--- a/tests/test_failed_servers.py
+++ b/tests/test_failed_servers.py
@@ -12,6 +12,7 @@
 from berylstair.counter import Traffic
 from berylstair.directory import ServerListed, ServerRegistration
 from berylstair.ids import BackendId
+from berylstair.record import BackendState
 from berylstair.server_death import CHECK_MIN_INTERVAL_S
 from berylstair.steering_action import ResetCaller
 from emulator.long_flows import LongFlow, LongFlows
@@ -446,6 +447,17 @@
         self.assertThat(len(affected), GreaterThan(5))
         self.assertThat(scene.flows.reset_flows(), Equals([]))
 
+    def test_a_server_that_drains_is_not_checked(self) -> None:
+        """Guards against a draining server that closes its port and looks dead."""
+        scene = Scene()
+        leaving = replace(scene.server.backend_server, state=BackendState.LEAVING)
+        registration = ServerRegistration(leaving, SERVICE)
+        scene.world.publish(f'servers/{scene.backend}', ServerListed(registration))
+        scene.crash(refuses_connections=True, expires=False)
+        scene.world.run(9)
+        self.assertThat(scene.world.check_times[scene.backend], Equals([]))
+        self.assertThat(scene.flows.reset_flows(), Equals([]))
+
     def test_without_a_path_for_checks_nothing_changes(self) -> None:
         """Guards against checks and resets on deployments that do not ask for them."""
         scene = Scene(has_health_path=False)
