--- a/tests/test_failed_servers.py
+++ b/tests/test_failed_servers.py
@@ -13,7 +13,19 @@
 from berylstair.directory import ServerListed, ServerRegistration
 from berylstair.ids import BackendId
 from berylstair.record import BackendState
-from berylstair.server_death import CHECK_MIN_INTERVAL_S
+from berylstair.server_death import CHECK_MIN_INTERVAL_S, CheckOutcome
+from berylstair.server_death_message import (
+    CheckReplyBatch,
+    CheckReplyRow,
+    CheckRequestBatch,
+    CheckRequestRow,
+    ProgressBatch,
+    ProgressRow,
+    StallBatch,
+    StallRow,
+    VerdictBatch,
+    VerdictRow,
+)
 from berylstair.steering_action import ResetCaller
 from emulator.long_flows import LongFlow, LongFlows
 from emulator.simulation import SERVICE, SimulatedServer, SimulatedWorld
@@ -24,6 +36,7 @@
 # After this time without a fault a reset of a live server's flow would be a fault.
 STABLE_WINDOW_S = 4.0
 SLOTS = 20
+MAX_INTEGER = (1 << 63) - 1
 SERVERS = 6
 FLOWS = 60
 # Instances, zones and seed.
@@ -370,6 +383,26 @@
             self.assertThat(after, GreaterThan(before))
             self.assertThat(len(scene.details(LogEvent.SERVER_ALIVE_AGAIN)), GreaterThan(0))
 
+    def test_numbers_that_no_instance_of_this_build_sends(self) -> None:
+        """Guards against a peer whose numbers keep a server without flows or raise a fault."""
+        for number in (0, 1, -1, 1 << 40, MAX_INTEGER, -MAX_INTEGER):
+            scene = Scene()
+            receiver, sender = scene.instance_ips[:2]
+            server = (scene.backend, 0)
+            steering = scene.world.steering_by_ip[receiver]
+            for message in (
+                StallBatch((StallRow(*server, bytes(6), number), StallRow(*server, b'', number))),
+                VerdictBatch((VerdictRow(*server, number, number, number),)),
+                ProgressBatch((ProgressRow(*server, number),)),
+                CheckRequestBatch((CheckRequestRow(scene.backend, number),)),
+                CheckReplyBatch((CheckReplyRow(*server, CheckOutcome.REFUSED),)),
+            ):
+                steering.handle_message(sender, message, scene.world.now)
+            scene.world.run(4)
+            with self.subTest(number=number):
+                is_dead = steering.failed_servers.is_server_dead(scene.backend, scene.world.now)
+                self.assertThat(is_dead, Equals(False))
+
     def test_a_restarted_server_gets_flows(self) -> None:
         """Guards against a verdict that outlives the lifetime of the server."""
         scene = Scene()
