--- a/berylstair/cold_servers.py
+++ b/berylstair/cold_servers.py
@@ -148,6 +148,15 @@
                 state.deferred_backends.clear()
         return lines
 
+    def count(self, now: float) -> int:
+        """Returns the number of cold servers of the services that state their cold start."""
+        directory = self._directory
+        return sum(
+            directory.cold_start(row.service) is not None
+            and directory.warmup_left_s(row.server.id, now) > 0
+            for row in directory.registered_servers()
+        )
+
     def _service_state(self, service: ServiceName) -> _ColdService:
         state = self._state_by_service.get(service)
         if state is None:
--- a/berylstair/counter.py
+++ b/berylstair/counter.py
@@ -52,6 +52,8 @@
     CONTROL_BYTES = 'control_bytes'
     COLD_OFFERS = 'cold_offers'
     COLD_GRANTS_UNUSED = 'cold_grants_unused'
+    DEAD_SERVER_RESETS = 'dead_server_resets'
+    LIVENESS_CHECKS = 'liveness_checks'
 
 
 class Counters:
--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -1,7 +1,7 @@
 """Routes and backend servers in force, ordered by their source and by their writers."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType, NoneType
 from typing import Any, NamedTuple
@@ -9,6 +9,7 @@
 from berylstair.evacuation import EvacuationTable
 from berylstair.ids import BackendId, Endpoint, ServiceName, ZoneId
 from berylstair.record import BackendServer
+from berylstair.server_addresses import ServerAddresses
 from berylstair.tag import tag_of
 
 __all__ = [
@@ -143,12 +144,15 @@
 
     Attributes:
         cold_by_service: Cold starts of the services that state them.
+        health_path_by_service: Where the servers of a service answer liveness checks;
+            without an entry, the servers of the service are not checked.
     """
 
     version: int
     route_by_address: dict[Endpoint, Route]
     idle_timeout_s: float
     cold_by_service: Mapping[ServiceName, ColdStart] = MappingProxyType({})
+    health_path_by_service: Mapping[ServiceName, str] = MappingProxyType({})
 
 
 class ServerListed(NamedTuple):
@@ -235,6 +239,7 @@
         position: Position of the source up to which every change was applied.
         advanced_at: When that position was reached, in seconds.
         evacuations: Zones that are evacuated.
+        addresses: Which registered servers have an address.
     """
 
     def __init__(self) -> None:
@@ -247,9 +252,9 @@
         self._pool_by_service: dict[ServiceName, _ServicePool] = {}
         self._entry_by_id: dict[BackendId, _ServerEntry] = {}
         self._entries_by_tag: dict[int, dict[BackendId, _ServerEntry]] = {}
-        self._ids_by_zone: dict[ZoneId, set[BackendId]] = {}
         self.evacuations = EvacuationTable()
         self._cold_since_by_zone: dict[ZoneId, float] = {}
+        self.addresses = ServerAddresses()
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -306,10 +311,7 @@
                 )
             return False
         self._change_by_key[versioned.key] = versioned
-        if isinstance(change, (ZoneEvacuated, ZoneTakenBack)):
-            self._apply_evacuation(change, now, grace_s)
-        else:
-            self._apply_content(change, now, grace_s)
+        self._apply_content(change, now, grace_s)
         return True
 
     def end_evacuations(self, now: float) -> None:
@@ -338,11 +340,6 @@
             return True
         return server.zone not in self.evacuations and not self.is_server_evacuated(server.id)
 
-    def count_servers(self, zone: ZoneId) -> int:
-        """Returns the number of registered servers in a zone."""
-        entries = (self._entry_by_id[backend] for backend in self._ids_by_zone.get(zone, ()))
-        return sum(entry.removed_at is None for entry in entries)
-
     def advance(self, position: Position, now: float) -> None:
         """Records that every change up to a position has been applied."""
         if position > self.position:
@@ -424,7 +421,8 @@
         if entry is None:
             return 0
         zone_cold_since = self._cold_since_by_zone.get(entry.registration.server.zone, -math.inf)
-        cold_until = zone_cold_since + self._cold_duration_s(entry.registration.service)
+        cold_start = self.cold_start(entry.registration.service)
+        cold_until = zone_cold_since + (cold_start.duration_s if cold_start else DEFAULT_COLD_S)
         return max(entry.warmup_until - now, cold_until - now, 0)
 
     def cold_start(self, service: ServiceName) -> ColdStart | None:
@@ -446,20 +444,32 @@
             if any(entry.registration.server.zone == zone for entry in pool.entry_by_id.values()):
                 self._recompute_accepting(service, now)
 
-    def count_cold_servers(self, now: float) -> int:
-        """Returns the number of cold servers of the services that state their cold start."""
-        return sum(
-            entry.removed_at is None
-            and self.cold_start(entry.registration.service) is not None
-            and self.warmup_left_s(backend, now) > 0
-            for backend, entry in self._entry_by_id.items()
-        )
+    def registered_servers(self) -> Iterator[ServerRegistration]:
+        """Iterates over the servers whose entries are registered."""
+        for entry in self._entry_by_id.values():
+            if entry.removed_at is None:
+                yield entry.registration
 
     def started_at_ms(self, backend: BackendId) -> int:
         """Returns the start time of the server's process in ms since 1970, 0 if unknown."""
         entry = self._entry_by_id.get(backend)
         return entry.registration.started_at_ms if entry else 0
 
+    def find_server(self, backend: BackendId) -> ServerRegistration | None:
+        """Returns a server as it last registered, also if its entry was removed since."""
+        entry = self._entry_by_id.get(backend)
+        return entry.registration if entry else None
+
+    def removed_at(self, backend: BackendId) -> float | None:
+        """Returns when a server's entry was removed, in seconds; None while it is registered."""
+        entry = self._entry_by_id.get(backend)
+        return entry.removed_at if entry else None
+
+    def is_gone(self, backend: BackendId, now: float) -> bool:
+        """Returns whether a server's entry was removed and the grace period is over."""
+        entry = self._entry_by_id.get(backend)
+        return entry is not None and entry.removed_at is not None and now >= entry.accepts_until
+
     def find_by_tag(self, tag: int, address: Endpoint) -> ServerRegistration | None:
         """Returns the server that a tag stands for on a service address.
 
@@ -498,14 +508,9 @@
         ]
         for backend in expired:
             entry = self._entry_by_id.pop(backend)
-            self._remove_from_zone(entry.registration.server)
             self._pool_by_service[entry.registration.service].entry_by_id.pop(backend, None)
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
-    def _cold_duration_s(self, service: ServiceName) -> float:
-        cold_start = self.cold_start(service)
-        return cold_start.duration_s if cold_start else DEFAULT_COLD_S
-
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for address, route in configuration.route_by_address.items():
@@ -520,9 +525,8 @@
             self._pool_by_service[previous.registration.service].entry_by_id.pop(backend, None)
             self._recompute_accepting(previous.registration.service, now)
         if previous is not None:
-            self._remove_from_zone(previous.registration.server)
-        zone = registration.server.zone
-        self._ids_by_zone.setdefault(zone, set()).add(backend)
+            self.addresses.remove(previous.registration.server)
+        self.addresses.add(registration.server)
         entry = _ServerEntry(registration, now + registration.warmup_left_s)
         self._entry_by_id[backend] = entry
         self._entries_by_tag.setdefault(tag_of(backend), {})[backend] = entry
@@ -534,6 +538,7 @@
         entry = self._entry_by_id.get(backend)
         if entry is None or entry.removed_at is not None:
             return
+        self.addresses.remove(entry.registration.server)
         entry.removed_at = now
         entry.accepts_until = now + grace_s
         self._recompute_accepting(entry.registration.service, now)
@@ -545,23 +550,13 @@
             self._remove_server(change.backend, now, grace_s)
         elif isinstance(change, ConfigurationPublished):
             self._apply_configuration(change.configuration)
-
-    def _apply_evacuation(
-        self, change: ZoneEvacuated | ZoneTakenBack, now: float, grace_s: float
-    ) -> None:
-        if isinstance(change, ZoneEvacuated):
+        elif isinstance(change, ZoneEvacuated):
             self.evacuations.begin(change.zone)
             self._invalidate_accepting()
-        else:
+        elif isinstance(change, ZoneTakenBack):
             self.evacuations.end(change.zone, now + grace_s)
             self.end_evacuations(now)
 
-    def _remove_from_zone(self, server: BackendServer) -> None:
-        zone_ids = self._ids_by_zone[server.zone]
-        zone_ids.discard(server.id)
-        if not zone_ids:
-            self._ids_by_zone.pop(server.zone)
-
     def _invalidate_accepting(self) -> None:
         """Lets the accepting servers of each service be computed when they are asked for next."""
         for pool in self._pool_by_service.values():
--- a/berylstair/dispatcher_ranking.py
+++ b/berylstair/dispatcher_ranking.py
@@ -57,7 +57,7 @@
         self, service: ServiceName, eligible: tuple[InstanceId, ...]
     ) -> InstanceId | None:
         """Returns the highest-ranked instance, suspect or not; None without eligible ones."""
-        return next(iter(self._cached_ranking(service, eligible)), None)
+        return next(iter(self.ranking(service, eligible)), None)
 
     def record_capacity(self, peer: InstanceId, capacity: int) -> None:
         """Records the capacity that a peer reports, in placements per second, at least 1."""
--- a/berylstair/evacuation_monitor.py
+++ b/berylstair/evacuation_monitor.py
@@ -42,6 +42,5 @@
 
     def _log(self, event: LogEvent, zone: ZoneId) -> None:
         directory = self._core.directory
-        self._core.log(
-            event, f'zone={zone} {directory.position} servers={directory.count_servers(zone)}'
-        )
+        count = sum(row.server.zone == zone for row in directory.registered_servers())
+        self._core.log(event, f'zone={zone} {directory.position} servers={count}')
--- a/berylstair/steering_message.py
+++ b/berylstair/steering_message.py
@@ -13,6 +13,10 @@
 from berylstair.cold_rate import NOT_COLD_MS
 from berylstair.directory import Position, SourceChange, WriterVersion
 from berylstair.lease_table import Outcome
+from berylstair.server_death_message import (
+    SERVER_DEATH_MESSAGES,
+    SERVER_DEATH_ROWS,
+)
 
 __all__ = [
     'STEERING_CODEC',
@@ -329,6 +333,7 @@
     ColdVoteRequest,
     ColdVote,
     OfferNoticeBatch,
+    *SERVER_DEATH_MESSAGES,
 )
 _ROW_TYPE_BY_FIELD: dict[tuple[type[Any], str], type[Any]] = {
     (FleetHeartbeat, 'members'): MemberRow,
@@ -342,6 +347,7 @@
     (DirectoryUpdate, 'rows'): DirectoryChangeRow,
     (ColdVoteRequest, 'services'): str,
     (ColdVote, 'services'): str,
+    **SERVER_DEATH_ROWS,
 }
 STEERING_CODEC = MessageCodec(_MESSAGE_TYPES, _ROW_TYPE_BY_FIELD)
 
--- a/berylstair/steering_metrics.py
+++ b/berylstair/steering_metrics.py
@@ -82,7 +82,7 @@
             (
                 'cold_servers',
                 'Cold servers of the services that state their cold start.',
-                core.directory.count_cold_servers(self._now),
+                core.cold_servers.count(self._now),
             ),
             (
                 'cold_mandates',
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -76,7 +76,7 @@
     """Returns the IP address of the instance with a rank for the service, from 0."""
     core = world.steering_by_ip['10.0.0.1'].core
     ranking = core.fleet.dispatcher_ranking
-    peer = ranking._cached_ranking(SERVICE, core.fleet.membership.eligible)[rank]
+    peer = ranking.ranking(SERVICE, core.fleet.membership.eligible)[rank]
     return f'10.0.0.{peer.removeprefix("entry-")}'
 
 
--- a/tests/test_peer_numbers.py
+++ b/tests/test_peer_numbers.py
@@ -52,7 +52,7 @@
             flows = [Random(number).randbytes(12) for number in range(20)]
             rows = tuple(LeaseRow(flow, backend, 'status', age_ms) for flow in flows[:10])
             requests = tuple(
-                PlacementRequestRow(flow, SERVICE, 'status', age_ms, age_ms, 250, 1, b'')
+                PlacementRequestRow(flow, SERVICE, 'status', age_ms, age_ms, 250, 1, 4000, b'')
                 for flow in flows[10:]
             )
             steering.handle_message('10.0.0.1', LeaseReport(SERVICE, rows), world.now)
--- a/tests/test_request_progress.py
+++ b/tests/test_request_progress.py
@@ -268,7 +268,7 @@
         world = self.open_flows(100)
         ended = len(events(world, LogEvent.FLOW_ENDED))
         for flow in list(world.flow_by_key.values()):
-            world._send_from_caller(flow, world._make_segment(flow)._replace(is_closing=True))
+            world.send_from_caller(flow, world._make_segment(flow)._replace(is_closing=True))
         world.run(0.1)
         details = events(world, LogEvent.FLOW_ENDED)[ended:]
         self.assertThat(len(details), Equals(10))
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -7,6 +7,8 @@
 
 from berylstair.admission import expected_wait_s, should_refuse
 from berylstair.assigner import Assigner, PlacementDecision
+from berylstair.cold_servers import ColdServers
+from berylstair.counter import Counters
 from berylstair.directory import Directory
 from berylstair.ids import FlowKey, InstanceId, ServiceName, ZoneId
 from berylstair.server_selection import PlacementConstraints
@@ -122,7 +124,9 @@
             self.assertThat(is_refused, Equals(expected))
 
     def test_a_flow_is_refused_where_no_server_has_slots(self) -> None:
-        assigner = Assigner(Directory(), lambda _zone: True)
+        directory = Directory()
+        cold_servers = ColdServers(directory, None, lambda _service, _now: False, Counters())
+        assigner = Assigner(directory, lambda _zone: True, cold_servers)
         decided = assigner.place(placement_request('a', 1.0), 1.0)
         self.assertThat(decided.decision, Equals(PlacementDecision.REFUSED))
 
