--- a/berylstair/directory.py
+++ b/berylstair/directory.py
@@ -139,6 +139,9 @@
     requests_per_s: float
 
 
+_UNSTATED_COLD_START = ColdStart(DEFAULT_COLD_S, 0)
+
+
 class Configuration(NamedTuple):
     """All routes of one published version.
 
@@ -255,6 +258,13 @@
         self.evacuations = EvacuationTable()
         self._cold_since_by_zone: dict[ZoneId, float] = {}
         self.addresses = ServerAddresses()
+        self._apply_by_type: Mapping[type[Any], Callable[[Any, float, float], None]] = {
+            ServerListed: self._add_server,
+            ServerRemoved: self._remove_server,
+            ConfigurationPublished: self._apply_configuration,
+            ZoneEvacuated: self._evacuate_zone,
+            ZoneTakenBack: self._take_zone_back,
+        }
 
     def find_change(self, key: str) -> SourceChange | None:
         """Returns the change held under a key."""
@@ -311,7 +321,9 @@
                 )
             return False
         self._change_by_key[versioned.key] = versioned
-        self._apply_content(change, now, grace_s)
+        apply_content = self._apply_by_type.get(type(change))
+        if apply_content is not None:
+            apply_content(change, now, grace_s)
         return True
 
     def end_evacuations(self, now: float) -> None:
@@ -320,10 +332,6 @@
             self.mark_zone_cold(zone, now)
             self._invalidate_accepting()
 
-    def is_evacuated(self, zone: ZoneId) -> bool:
-        """Returns whether nothing new may be sent to the servers of a zone."""
-        return zone in self.evacuations
-
     def is_server_evacuated(self, backend: BackendId) -> bool:
         """Returns whether a server is in an evacuated zone, by its latest entry."""
         entry = self._entry_by_id.get(backend)
@@ -421,8 +429,8 @@
         if entry is None:
             return 0
         zone_cold_since = self._cold_since_by_zone.get(entry.registration.server.zone, -math.inf)
-        cold_start = self.cold_start(entry.registration.service)
-        cold_until = zone_cold_since + (cold_start.duration_s if cold_start else DEFAULT_COLD_S)
+        cold_start = self.cold_start(entry.registration.service) or _UNSTATED_COLD_START
+        cold_until = zone_cold_since + cold_start.duration_s
         return max(entry.warmup_until - now, cold_until - now, 0)
 
     def cold_start(self, service: ServiceName) -> ColdStart | None:
@@ -511,14 +519,18 @@
             self._pool_by_service[entry.registration.service].entry_by_id.pop(backend, None)
             self._entries_by_tag[tag_of(backend)].pop(backend, None)
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
+    def _apply_configuration(
+        self, change: ConfigurationPublished, _now: float, _grace_s: float
+    ) -> None:
+        configuration = change.configuration
         self.configuration = configuration
         for address, route in configuration.route_by_address.items():
             self.routed_services_by_address.setdefault(address, set()).update(
                 route.weight_by_service
             )
 
-    def _add_server(self, registration: ServerRegistration, now: float) -> None:
+    def _add_server(self, change: ServerListed, now: float, _grace_s: float) -> None:
+        registration = change.registration
         backend = registration.server.id
         previous = self._entry_by_id.get(backend)
         if previous is not None and previous.registration.service != registration.service:
@@ -534,8 +546,8 @@
         pool.entry_by_id[backend] = entry
         self._recompute_accepting(registration.service, now)
 
-    def _remove_server(self, backend: BackendId, now: float, grace_s: float) -> None:
-        entry = self._entry_by_id.get(backend)
+    def _remove_server(self, change: ServerRemoved, now: float, grace_s: float) -> None:
+        entry = self._entry_by_id.get(change.backend)
         if entry is None or entry.removed_at is not None:
             return
         self.addresses.remove(entry.registration.server)
@@ -543,19 +555,13 @@
         entry.accepts_until = now + grace_s
         self._recompute_accepting(entry.registration.service, now)
 
-    def _apply_content(self, change: DecodedChange | None, now: float, grace_s: float) -> None:
-        if isinstance(change, ServerListed):
-            self._add_server(change.registration, now)
-        elif isinstance(change, ServerRemoved):
-            self._remove_server(change.backend, now, grace_s)
-        elif isinstance(change, ConfigurationPublished):
-            self._apply_configuration(change.configuration)
-        elif isinstance(change, ZoneEvacuated):
-            self.evacuations.begin(change.zone)
-            self._invalidate_accepting()
-        elif isinstance(change, ZoneTakenBack):
-            self.evacuations.end(change.zone, now + grace_s)
-            self.end_evacuations(now)
+    def _evacuate_zone(self, change: ZoneEvacuated, _now: float, _grace_s: float) -> None:
+        self.evacuations.begin(change.zone)
+        self._invalidate_accepting()
+
+    def _take_zone_back(self, change: ZoneTakenBack, now: float, grace_s: float) -> None:
+        self.evacuations.end(change.zone, now + grace_s)
+        self.end_evacuations(now)
 
     def _invalidate_accepting(self) -> None:
         """Lets the accepting servers of each service be computed when they are asked for next."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -270,7 +270,7 @@
 def evacuated_at(world: SimulatedWorld) -> set[bool]:
     """Returns whether running instances hold the first zone as evacuated."""
     return {
-        steering.core.directory.is_evacuated(ZONE)
+        ZONE in steering.core.directory.evacuations
         for ip, steering in world.steering_by_ip.items()
         if ip not in world.down_ips
     }
@@ -475,7 +475,7 @@
         world.source_items.pop(key)
         listing = SourceListing(position, tuple(world.source_items.values()))
         world.deliver_listing(READER_IP, listing, is_full_listing=True, refuted=refuted)
-        self.assertThat(steering.core.directory.is_evacuated(ZONE), Equals(False))
+        self.assertThat(ZONE in steering.core.directory.evacuations, Equals(False))
         change = steering.core.directory.find_change(key)
         self.assertThat(change and change.position, Equals(position))
 
